Maven skeleton: modules, formatter, linter, protocols page, the interfaces the parts meet at

Cause: the parts are to grow side by side, so the shared records and the protocols stand first. FifoScheduler is the baseline that later schedulers are measured against. Nothing serves a request yet.

--- /dev/null
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Worker.java
@@ -0,0 +1,10 @@
+package org.dotterelcourse.configuration;
+
+/**
+ * One worker of an upstream.
+ *
+ * @param name the worker's name, unique in the document
+ * @param address its IP number and port, as in {@code 127.0.0.1:9101}
+ * @param dataCentre its data centre
+ */
+public record Worker(String name, String address, String dataCentre) {}
--- /dev/null
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/cell/FifoSchedulerTest.java
@@ -0,0 +1,38 @@
+package org.dotterelcourse.policy.cell;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FifoSchedulerTest {
+    private static final ClassTerms TERMS = new ClassTerms("teller", 1, 0.1, 10, false, 1_000, 0, 1);
+
+    private final FifoScheduler scheduler = new FifoScheduler(2, new Random(1));
+
+    @Test
+    void servesInTheOrderOfArrivalAsWorkersGetFree() {
+        scheduler.workers(List.of(new WorkerInfo("llm-1", "ruwi-hall", 1, false)), 0);
+
+        assertThat(scheduler.offer(ask("a"), 0)).containsExactly(new CellEffect.Granted("a", 1, "llm-1"));
+        assertThat(scheduler.offer(ask("b"), 1)).isEmpty();
+        assertThat(scheduler.release(1, new Completion(Completion.End.ANSWERED, 1, 2, 3), 2))
+                .containsExactly(new CellEffect.Granted("b", 2, "llm-1"));
+    }
+
+    @Test
+    void refusesWhatDoesNotFitInTheQueue() {
+        scheduler.offer(ask("a"), 0);
+        scheduler.offer(ask("b"), 0);
+
+        assertThat(scheduler.offer(ask("c"), 0)).hasOnlyElementsOfType(CellEffect.Refused.class);
+        assertThat(scheduler.waiting()).isEqualTo(2);
+    }
+
+    private static Ask ask(String id) {
+        return new Ask(id, TERMS, "bank", 0, 10, 0, true, 0, Set.of());
+    }
+}
