Peer transport over TCP and UDP with heartbeats and bounded queues

State machines need messages between processes that neither block nor grow without bound when a peer is away, and links that notice a connection whose bytes are swallowed. Each side confirms what it has read, so that a cut in one direction is noticed by the other; a doubted link is replaced by a new one.

--- /dev/null
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerTransport.java
@@ -0,0 +1,379 @@
+package org.dotterelcourse.coordination.transport;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import com.google.protobuf.ByteString;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.dotterelcourse.coordination.MemberId;
+import org.dotterelcourse.coordination.transport.generated.Envelope;
+
+/**
+ * Messages between processes over TCP and UDP on one port number. Everything runs on one thread: handlers are called on
+ * it, and so are the tasks given to {@link #execute} and {@link #every}, so that state machines need no locks. Delivery
+ * is best effort: a message may be lost when a connection breaks, but it is never changed, cut or merged.
+ */
+public final class PeerTransport implements AutoCloseable {
+
+    private static final int BIND_ATTEMPTS = 20;
+    private static final int LINK_BOUND = 2_048;
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final int DATAGRAM_BUFFER = 1 << 20;
+    private static final long CLOSE_SECONDS = 5;
+
+    private final InetSocketAddress bind;
+    private final TransportLimits limits;
+    private final RandomGenerator random;
+    private final Consumer<Throwable> failures;
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
+    private final ChannelCounters counters = new ChannelCounters();
+    private final Map<String, PeerHandler> handlers = new ConcurrentHashMap<>();
+    private final Map<InetSocketAddress, PeerLink> links = new HashMap<>();
+    private final AtomicLong silences = new AtomicLong();
+    private volatile MemberId self;
+    private Channel tcp;
+    private Channel udp;
+    private int port;
+
+    PeerTransport(PeerTransportBuilder builder) {
+        bind = builder.bind;
+        limits = builder.limits;
+        random = builder.random;
+        failures = builder.failures;
+        self = builder.self;
+        group = new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory("peers-" + self.name(), true), NioIoHandler.newFactory());
+        loop = group.next();
+    }
+
+    /**
+     * Starts the description of a transport.
+     *
+     * @return a builder
+     */
+    public static PeerTransportBuilder builder() {
+        return new PeerTransportBuilder();
+    }
+
+    /**
+     * Binds both sockets.
+     *
+     * @return this transport
+     * @throws UncheckedIOException when the port is taken
+     */
+    public PeerTransport start() {
+        IOException last = null;
+        int attempts = bind.getPort() == 0 ? BIND_ATTEMPTS : 1;
+        for (int i = 0; i < attempts; i++) {
+            last = tryBind();
+            if (last == null) {
+                return this;
+            }
+        }
+        close();
+        throw new UncheckedIOException(last);
+    }
+
+    /**
+     * The port that both sockets are bound to.
+     *
+     * @return the port number, 0 before the start
+     */
+    public int port() {
+        return port;
+    }
+
+    /**
+     * The address that both sockets are bound to.
+     *
+     * @return IP number and port
+     */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(bind.getAddress(), port);
+    }
+
+    /**
+     * Sets the identity that envelopes carry from now on.
+     *
+     * @param identity name and incarnation
+     */
+    public void identify(MemberId identity) {
+        self = identity;
+    }
+
+    /**
+     * Sets the handler of a channel. Messages for a channel without one are counted and left.
+     *
+     * @param channel the channel's name
+     * @param handler called on the transport's thread
+     */
+    public void receive(String channel, PeerHandler handler) {
+        handlers.put(channel, handler);
+    }
+
+    /**
+     * Sends by TCP on the kept connection. A body above the limit is dropped and counted.
+     *
+     * @param to the peer port of the receiver
+     * @param channel the receiver's channel
+     * @param body the channel's own encoding
+     */
+    public void send(InetSocketAddress to, String channel, byte[] body) {
+        sendStream(to, channel, body, false);
+    }
+
+    /**
+     * Sends by TCP on a new connection, which replaces the kept one.
+     *
+     * @param to the peer port of the receiver
+     * @param channel the receiver's channel
+     * @param body the channel's own encoding
+     */
+    public void sendFresh(InetSocketAddress to, String channel, byte[] body) {
+        sendStream(to, channel, body, true);
+    }
+
+    /**
+     * Sends by UDP. A body above the limit is dropped and counted.
+     *
+     * @param to the peer port of the receiver
+     * @param channel the receiver's channel
+     * @param body the channel's own encoding
+     */
+    public void sendDatagram(InetSocketAddress to, String channel, byte[] body) {
+        if (body.length > limits.datagramBytes()) {
+            counters.dropped(channel);
+            return;
+        }
+        byte[] bytes = envelope(channel, ByteString.copyFrom(body)).toByteArray();
+        counters.sent(channel, bytes.length);
+        udp.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to), udp.voidPromise());
+    }
+
+    /**
+     * Runs a task on the transport's thread.
+     *
+     * @param task must not block
+     */
+    public void execute(Runnable task) {
+        loop.execute(task);
+    }
+
+    /**
+     * Runs a task on the transport's thread again and again. A task that throws is reported and runs on.
+     *
+     * @param periodNanos pause between two runs in nanoseconds
+     * @param task must not block
+     */
+    public void every(long periodNanos, Runnable task) {
+        loop.scheduleWithFixedDelay(() -> guarded(task), periodNanos, periodNanos, TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * What each channel has carried.
+     *
+     * @return the counts by channel name; {@code hello} and {@code heartbeat} are the transport's own
+     */
+    public Map<String, ChannelCount> counts() {
+        return counters.snapshot();
+    }
+
+    /**
+     * How many connections were closed because they had gone silent.
+     *
+     * @return the count since the start
+     */
+    public long silentConnections() {
+        return silences.get();
+    }
+
+    /** Closes all sockets and ends the thread. Messages that wait are lost. */
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    TransportLimits limits() {
+        return limits;
+    }
+
+    ChannelCounters counters() {
+        return counters;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    long nanoTime() {
+        return System.nanoTime();
+    }
+
+    void schedule(Runnable task, long delayNanos) {
+        loop.schedule(task, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    Envelope envelope(String channel, ByteString body) {
+        MemberId identity = self;
+        return Envelope.newBuilder()
+                .setSender(identity.name())
+                .setIncarnation(identity.incarnation())
+                .setChannel(channel)
+                .setBody(body)
+                .build();
+    }
+
+    PeerLink link(InetSocketAddress peer) {
+        if (links.size() >= LINK_BOUND) {
+            links.values().removeIf(PeerLink::idle);
+        }
+        return links.computeIfAbsent(peer, address -> new PeerLink(this, address));
+    }
+
+    void connect(InetSocketAddress peer) {
+        PeerConnection connection = new PeerConnection(this, peer);
+        ChannelFuture attempt = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(pipeline(connection))
+                .connect(peer);
+        attempt.addListener(result -> {
+            if (!result.isSuccess()) {
+                link(peer).connectFailed();
+            }
+        });
+    }
+
+    void opened(PeerConnection connection, InetSocketAddress peer) {
+        if (connection.outbound()) {
+            link(peer).connected(connection);
+        }
+    }
+
+    void closed(PeerConnection connection, InetSocketAddress peer) {
+        if (peer != null && !loop.isShuttingDown()) {
+            link(peer).closed(connection);
+        }
+    }
+
+    void silent() {
+        silences.incrementAndGet();
+    }
+
+    void failed(Throwable cause) {
+        failures.accept(cause);
+    }
+
+    void deliver(Envelope envelope, InetSocketAddress from, boolean datagram) {
+        PeerHandler handler = handlers.get(envelope.getChannel());
+        if (handler == null) {
+            return;
+        }
+        MemberId sender = new MemberId(envelope.getSender(), envelope.getIncarnation());
+        byte[] body = envelope.getBody().toByteArray();
+        guarded(() -> handler.receive(new PeerMessage(sender, from, datagram, body)));
+    }
+
+    private void sendStream(InetSocketAddress to, String channel, byte[] body, boolean fresh) {
+        if (body.length > limits.messageBytes()) {
+            counters.dropped(channel);
+            return;
+        }
+        Envelope envelope = envelope(channel, ByteString.copyFrom(body));
+        if (loop.inEventLoop()) {
+            sendNow(to, envelope, fresh);
+        } else {
+            loop.execute(() -> sendNow(to, envelope, fresh));
+        }
+    }
+
+    private void sendNow(InetSocketAddress to, Envelope envelope, boolean fresh) {
+        if (fresh) {
+            link(to).sendFresh(envelope);
+        } else {
+            link(to).send(envelope);
+        }
+    }
+
+    /** One message that a handler can't take must not end the thread that all others run on. */
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            failures.accept(e);
+        }
+    }
+
+    /** With port 0 the system picks the TCP port; UDP may find the same number taken, and both start over. */
+    private IOException tryBind() {
+        ChannelFuture tcpBound = bindTcp().awaitUninterruptibly();
+        if (!tcpBound.isSuccess()) {
+            return new IOException("TCP " + bind, tcpBound.cause());
+        }
+        tcp = tcpBound.channel();
+        port = ((InetSocketAddress) tcp.localAddress()).getPort();
+        ChannelFuture udpBound = bindUdp().awaitUninterruptibly();
+        if (udpBound.isSuccess()) {
+            udp = udpBound.channel();
+            return null;
+        }
+        tcp.close().awaitUninterruptibly();
+        return new IOException("UDP " + address(), udpBound.cause());
+    }
+
+    private ChannelFuture bindTcp() {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(pipeline(null))
+                .bind(bind);
+    }
+
+    private ChannelFuture bindUdp() {
+        return new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
+                .option(ChannelOption.SO_RCVBUF, DATAGRAM_BUFFER)
+                .handler(new DatagramReader(this))
+                .bind(address());
+    }
+
+    /** The pipeline of one connection; an inbound one gets a new end for each connection. */
+    private ChannelInitializer<SocketChannel> pipeline(PeerConnection outbound) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                PeerConnection end = outbound == null ? new PeerConnection(PeerTransport.this, null) : outbound;
+                channel.pipeline().addLast(new EnvelopeFrames(limits.messageBytes()), end);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Carries messages between processes: one TCP connection a peer and UDP datagrams, on Netty. */
+package org.dotterelcourse.coordination.transport;
