--- /dev/null
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/configuration/RelayFleet.java
@@ -0,0 +1,219 @@
+package org.dotterelcourse.coordination.configuration;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.dotterelcourse.coordination.Wire;
+
+/** Relays on a wire beside a published sequence that can be down, stale or wrong for one reader. */
+final class RelayFleet {
+
+    private static final long READ_NANOS = 5 * Wire.MILLISECOND;
+    private static final long WATCH_NANOS = 10 * Wire.SECOND;
+    private static final long TICK_NANOS = 100 * Wire.MILLISECOND;
+    private static final int READERS = 2;
+
+    final Wire<byte[]> wire;
+    final Map<Integer, ConfigurationRelay> nodes = new TreeMap<>();
+    final Map<Integer, List<Long>> inForce = new HashMap<>();
+    final List<RelayAlarm> alarms = new ArrayList<>();
+    final TreeMap<Long, Entry> published = new TreeMap<>();
+    FoldState reference = FoldState.EMPTY;
+    boolean serviceDown;
+    long staleHead = Long.MAX_VALUE;
+    int wrongReader = -1;
+    int reads;
+    private final Random random;
+    private final List<Read> pending = new ArrayList<>();
+
+    private record Read(int node, ConfigurationRelay asker, RelayEffect read, long dueNanos) {}
+
+    RelayFleet(int size, long seed) {
+        wire = new Wire<>(seed);
+        random = new Random(seed);
+        publish(true, "first");
+        for (int i = 0; i < size; i++) {
+            start(i);
+        }
+    }
+
+    /** Accepts a patch whose first word is the number in force; keeps the bodies of all accepted entries. */
+    static Folder.Result fold(Optional<Content> inForce, Entry entry) {
+        String body = new String(entry.body(), StandardCharsets.UTF_8);
+        if (entry.whole()) {
+            return new Folder.Accepted(entry.body());
+        }
+        long base = Long.parseLong(body.substring(0, body.indexOf(' ')));
+        if (inForce.isEmpty() || inForce.get().number() != base) {
+            return new Folder.Refused(List.of("base " + base));
+        }
+        String before = new String(inForce.get().bytes(), StandardCharsets.UTF_8);
+        return new Folder.Accepted((before + "\n" + body).getBytes(StandardCharsets.UTF_8));
+    }
+
+    void publish(boolean whole, String text) {
+        long number = published.isEmpty() ? 1 : published.lastKey() + 1;
+        Entry entry = new Entry(number, whole, text.getBytes(StandardCharsets.UTF_8));
+        published.put(number, entry);
+        reference = reference.next(RelayFleet::fold, entry).state();
+    }
+
+    void publishPatch(boolean wrongBase) {
+        publish(false, reference.number() - (wrongBase ? 1 : 0) + " change " + random.nextInt());
+    }
+
+    void start(int node) {
+        nodes.put(
+                node,
+                new ConfigurationRelay(
+                        RelayFleet::fold, RelaySettings.STANDARD, new Random(random.nextLong()), wire.now()));
+        inForce.put(node, new ArrayList<>());
+        wire.attach(
+                node,
+                (from, bytes) -> tell(
+                        node,
+                        new RelayEvent.Received(
+                                "n" + from,
+                                Wire.address(from),
+                                ConfigurationCodec.decode(bytes).orElseThrow())));
+        for (int each : nodes.keySet()) {
+            tell(each, roster(each));
+        }
+    }
+
+    void run(long nanos) {
+        long end = wire.now() + nanos;
+        while (wire.now() < end) {
+            wire.advanceTo(wire.now() + TICK_NANOS / 10);
+            answerReads();
+            if (wire.now() / (TICK_NANOS / 10) % 10 == 0) {
+                tick();
+            }
+        }
+    }
+
+    boolean allAtReference() {
+        for (ConfigurationRelay relay : nodes.values()) {
+            boolean same = relay.position() == reference.position()
+                    && relay.inForce()
+                            .map(Content::digest)
+                            .equals(reference.content().map(Content::digest));
+            if (!same) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private RelayEvent.Roster roster(int self) {
+        List<RelayPeer> peers = new ArrayList<>();
+        for (int node : nodes.keySet()) {
+            if (node != self) {
+                peers.add(new RelayPeer("n" + node, Wire.address(node), node % 3 == self % 3));
+            }
+        }
+        return new RelayEvent.Roster(peers, self / 3 < READERS);
+    }
+
+    private void tick() {
+        for (int node : List.copyOf(nodes.keySet())) {
+            if (wire.paused(node)) {
+                continue;
+            }
+            tell(node, new RelayEvent.Tick());
+            if (random.nextInt(10) == 0) {
+                hearOfAnother(node);
+            }
+        }
+    }
+
+    /** Stands for membership's messages: about one a second from a random member. */
+    private void hearOfAnother(int node) {
+        int other = random.nextInt(nodes.size());
+        ConfigurationRelay relay = nodes.get(other);
+        if (other != node && relay != null) {
+            long digest = relay.inForce().map(Content::digest).orElse(0L);
+            tell(node, new RelayEvent.PeerHead("n" + other, relay.position(), digest));
+        }
+    }
+
+    private void tell(int node, RelayEvent event) {
+        ConfigurationRelay relay = nodes.get(node);
+        for (RelayEffect effect : relay.on(event, wire.now())) {
+            if (effect instanceof RelayEffect.SendTo send) {
+                byte[] bytes = ConfigurationCodec.encode(send.message());
+                wire.send(node, Wire.node(send.to()), bytes, false);
+            } else if (effect instanceof RelayEffect.InForce changed) {
+                inForce.get(node).add(changed.content().number());
+            } else if (effect instanceof RelayEffect.Raised raised) {
+                alarms.add(raised.alarm());
+            } else if (!(effect instanceof RelayEffect.Advanced || effect instanceof RelayEffect.Refused)) {
+                reads++;
+                long wait = effect instanceof RelayEffect.Watch ? WATCH_NANOS : READ_NANOS;
+                pending.add(new Read(node, relay, effect, wire.now() + wait));
+            }
+        }
+    }
+
+    private void answerReads() {
+        for (Read read : List.copyOf(pending)) {
+            boolean news = read.read instanceof RelayEffect.Watch watch && !serviceDown && head() > watch.after();
+            boolean due = wire.now() >= read.dueNanos && !wire.paused(read.node);
+            if (news || due) {
+                pending.remove(read);
+                if (nodes.get(read.node) == read.asker) {
+                    tell(read.node, answer(read));
+                }
+            }
+        }
+    }
+
+    private long head() {
+        return Math.min(staleHead, published.lastKey());
+    }
+
+    private RelayEvent answer(Read read) {
+        if (serviceDown) {
+            return new RelayEvent.ReadFailed(0);
+        }
+        if (read.read instanceof RelayEffect.Watch watch) {
+            return head() > watch.after() ? new RelayEvent.HeadRead(head()) : new RelayEvent.WatchEnded();
+        }
+        if (read.read instanceof RelayEffect.FetchHead) {
+            return new RelayEvent.HeadRead(head());
+        }
+        if (read.read instanceof RelayEffect.FetchWhole) {
+            return new RelayEvent.EntryRead(newestWhole());
+        }
+        long number = ((RelayEffect.Fetch) read.read).number();
+        if (number > head()) {
+            return new RelayEvent.EntryMissing();
+        }
+        return new RelayEvent.EntryRead(entryFor(read.node, number));
+    }
+
+    private Entry newestWhole() {
+        Entry newest = null;
+        for (Entry entry : published.headMap(head(), true).values()) {
+            newest = entry.whole() ? entry : newest;
+        }
+        return newest;
+    }
+
+    /** One reader is once given another body than all others. */
+    private Entry entryFor(int node, long number) {
+        Entry entry = published.get(number);
+        if (node != wrongReader || entry.whole()) {
+            return entry;
+        }
+        wrongReader = -1;
+        String wrong = new String(entry.body(), StandardCharsets.UTF_8) + " wrong";
+        return new Entry(number, false, wrong.getBytes(StandardCharsets.UTF_8));
+    }
+}
