--- /dev/null
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/StandIn.java
@@ -0,0 +1,24 @@
+package org.dotterelcourse.standins;
+
+/** An outside system that listens on loopback. It is closed once and can't be started again after that. */
+public interface StandIn extends AutoCloseable {
+    /**
+     * Where it listens.
+     *
+     * @return the IP number and port, as in {@code 127.0.0.1:9101}
+     * @throws IllegalStateException if it was not started
+     */
+    String address();
+
+    /**
+     * Switches a fault on, or all faults off.
+     *
+     * @param fault the fault
+     * @throws IllegalArgumentException if this stand-in has no such fault
+     */
+    void fault(Fault fault);
+
+    /** Stops listening and closes all connections. */
+    @Override
+    void close();
+}
