--- /dev/null
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Commands.java
@@ -0,0 +1,184 @@
+package org.dotterelcourse.standins;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+
+/** The subcommands that start stand-ins. Each prints a line of JSON when it listens, and runs until SIGTERM. */
+final class Commands {
+    private Commands() {}
+
+    static int serve(StandIn part, ObjectNode ready) throws InterruptedException {
+        Runtime.getRuntime().addShutdownHook(new Thread(part::close, "close"));
+        System.out.println(Json.text(ready));
+        new CountDownLatch(1).await();
+        return 0;
+    }
+
+    static int serve(StandIn part) throws InterruptedException {
+        return serve(part, Json.object().put("ready", true).put("address", part.address()));
+    }
+
+    /** Options that every stand-in has. */
+    public abstract static class Listening implements Callable<Integer> {
+        @Option(name = "--port", description = "port on 127.0.0.1, 0 for any free one")
+        int port;
+    }
+
+    /** A model engine. */
+    @Command(name = "engine", description = "A model engine")
+    public static final class Engine extends Listening {
+        @Option(name = "--batch", description = "how many sequences run at once")
+        private int batch = 16;
+
+        @Option(name = "--waiting", description = "how many requests wait beyond that")
+        private int waiting = 32;
+
+        @Option(name = "--step-micros", description = "time of a decoding step of an empty batch")
+        private long stepMicros = 4_000;
+
+        @Option(name = "--per-sequence-micros", description = "what each sequence in the batch adds to a step")
+        private long perSequenceMicros = 250;
+
+        @Option(name = "--prefill-token-micros", description = "time to prefill one uncached token")
+        private long prefillMicros = 50;
+
+        @Option(name = "--report-lag-millis", description = "how old a load report is")
+        private long lagMillis = 500;
+
+        @Option(name = "--no-fencing", description = "take orders with an old fencing number")
+        private boolean noFencing;
+
+        @Option(name = "--model", description = "NAME/VERSION loaded at the start; may be repeated")
+        private List<String> models = new ArrayList<>();
+
+        @Option(name = "--weight-store", description = "address of the weight store that a load asks")
+        private String weightStore = "";
+
+        @Override
+        public Integer call() throws InterruptedException {
+            EngineBuilder builder = EngineStandIn.builder()
+                    .port(port)
+                    .limits(batch, waiting)
+                    .times(micros(stepMicros), micros(perSequenceMicros), micros(prefillMicros))
+                    .reportLag(Duration.ofMillis(lagMillis))
+                    .fencing(!noFencing)
+                    .loading(Duration.ofMillis(500), weightStore);
+            for (String each : models) {
+                int slash = each.lastIndexOf('/');
+                if (slash < 0) {
+                    throw new IllegalArgumentException("--model takes NAME/VERSION, not " + each);
+                }
+                builder.model(each.substring(0, slash), each.substring(slash + 1));
+            }
+            return serve(builder.build().start());
+        }
+
+        private static Duration micros(long value) {
+            return Duration.ofNanos(value * 1_000);
+        }
+    }
+
+    /** A plain service. */
+    @Command(name = "service", description = "A plain service")
+    public static final class Service extends Listening {
+        @Option(name = "--limit", description = "how many calls run at once")
+        private int limit = 64;
+
+        @Option(name = "--least-millis", description = "the shortest service time")
+        private long leastMillis = 2;
+
+        @Option(name = "--extra-millis", description = "the mean of the rest of the service time")
+        private long extraMillis = 8;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            return serve(ServiceStandIn.builder()
+                    .port(port)
+                    .limit(limit)
+                    .serviceTime(Duration.ofMillis(leastMillis), Duration.ofMillis(extraMillis))
+                    .build()
+                    .start());
+        }
+    }
+
+    /** The configuration service. */
+    @Command(name = "configuration", description = "The configuration service")
+    public static final class Configuration extends Listening {
+        @Option(name = "--calls-per-second", description = "the quota over all readers")
+        private double callsPerSecond = 2_000;
+
+        @Arguments(description = "INI files published as whole documents, in this order")
+        private List<String> documents = new ArrayList<>();
+
+        @Override
+        public Integer call() throws Exception {
+            ConfigurationServiceStandIn service = ConfigurationServiceStandIn.builder()
+                    .port(port)
+                    .quota(callsPerSecond)
+                    .build();
+            for (String each : documents) {
+                String text = Files.readString(Path.of(each), StandardCharsets.UTF_8);
+                service.publish(ConfigurationServiceStandIn.Kind.WHOLE, text);
+            }
+            return serve(service.start());
+        }
+    }
+
+    /** The list of VMs. */
+    @Command(name = "vms", description = "The list of VMs; set it by POST /_set")
+    public static final class Vms extends Listening {
+        @Option(name = "--lag-millis", description = "how late a change is seen")
+        private long lagMillis = 1_000;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            return serve(VmListStandIn.builder()
+                    .port(port)
+                    .lag(Duration.ofMillis(lagMillis))
+                    .build()
+                    .start());
+        }
+    }
+
+    /** The weight store. */
+    @Command(name = "weights", description = "The weight store")
+    public static final class Weights extends Listening {
+        @Option(name = "--per-second", description = "reads a second over all engines")
+        private double perSecond = 10;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            return serve(WeightStoreStandIn.builder()
+                    .port(port)
+                    .rate(perSecond)
+                    .build()
+                    .start());
+        }
+    }
+
+    /** Several stand-ins in one process. */
+    @Command(name = "platform", description = "Several stand-ins in one process")
+    public static final class WholePlatform implements Callable<Integer> {
+        @Arguments(description = "the JSON file that describes them")
+        @Required
+        private String file;
+
+        @Override
+        public Integer call() throws Exception {
+            Platform platform = Platform.read(Path.of(file)).start();
+            return serve(platform, platform.ready());
+        }
+    }
+}
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/EngineRoutes.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/EngineRoutes.java
@@ -1,6 +1,5 @@
 package org.dotterelcourse.standins;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -135,9 +134,4 @@
         response.status(200).header("Content-Type", stream.contentType()).header("Cache-Control", "no-cache");
         return response.send(bytes.map(Unpooled::wrappedBuffer), each -> true);
     }
-
-    /** The body of one answer, as server-sent events or as one JSON object. */
-    static byte[] utf8(String text) {
-        return text.getBytes(StandardCharsets.UTF_8);
-    }
 }
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/EngineStream.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/EngineStream.java
@@ -59,9 +59,9 @@
                 .put("total_tokens", sequence.promptTokens + sequence.lastToken);
         if (streamed) {
             event(last);
-            sink.tryEmitNext(EngineRoutes.utf8("data: [DONE]\n\n"));
+            sink.tryEmitNext(Json.utf8("data: [DONE]\n\n"));
         } else {
-            sink.tryEmitNext(EngineRoutes.utf8(Json.text(last)));
+            sink.tryEmitNext(Json.utf8(Json.text(last)));
         }
         sink.tryEmitComplete();
     }
@@ -76,6 +76,6 @@
     }
 
     private void event(ObjectNode chunk) {
-        sink.tryEmitNext(EngineRoutes.utf8("data: " + Json.text(chunk) + "\n\n"));
+        sink.tryEmitNext(Json.utf8("data: " + Json.text(chunk) + "\n\n"));
     }
 }
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Json.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Json.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.standins;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -33,8 +34,8 @@
         }
     }
 
-    static JsonNode tree(Object value) {
-        return MAPPER.valueToTree(value);
+    static byte[] utf8(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
     }
 
     static String text(Object value) {
