--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP side towards callers. */
+package org.dotterelcourse.daemon.edge;
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP side towards operators. */
+package org.dotterelcourse.daemon.operators;
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/package-info.java
@@ -0,0 +1,2 @@
+/** The other daemons: membership, owners, grants, relayed configuration. */
+package org.dotterelcourse.daemon.peers;
