Read configuration documents, patches and daemon settings from INI

The daemon needs a configuration to serve anybody. Texts are read whole and every finding is reported together with its file, section and key. Patches apply only to the number they name, and the result is checked as a whole. Look-ups by class, customer, key and upstream go through hash indexes.

--- /dev/null
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ClassSection.java
@@ -0,0 +1,104 @@
+package org.dotterelcourse.configuration;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** {@code [class NAME]}: a request class. */
+final class ClassSection implements SectionKind<RequestClass> {
+    static final String UPSTREAM = "upstream";
+    static final String MODEL = "model";
+    static final String VERSION = "version";
+    static final String TIER = "tier";
+    static final String TARGET = "target-ms";
+    static final String TOKEN_INTERVAL = "token-interval-ms";
+    static final String IDEMPOTENT = "idempotent";
+    static final String LATE_IS_USELESS = "late-is-useless";
+    static final String MINIMUM_SHARE = "minimum-share";
+    static final String MAX_WAITING = "max-waiting";
+    static final String MAX_OUTPUT_TOKENS = "max-output-tokens";
+
+    private static final int TIERS = 4;
+    private static final long LONGEST_TARGET_MILLIS = 86_400_000;
+    private static final long LONGEST_INTERVAL_MILLIS = 60_000;
+    private static final long MOST_WAITING = 1_000_000;
+    private static final long MOST_TOKENS = 1_000_000;
+    private static final long DEFAULT_WAITING = 1_000;
+    private static final long DEFAULT_TOKENS = 1_024;
+
+    @Override
+    public String word() {
+        return "class";
+    }
+
+    @Override
+    public List<String> keys() {
+        return List.of(
+                UPSTREAM,
+                MODEL,
+                VERSION,
+                TIER,
+                TARGET,
+                TOKEN_INTERVAL,
+                IDEMPOTENT,
+                LATE_IS_USELESS,
+                MINIMUM_SHARE,
+                MAX_WAITING,
+                MAX_OUTPUT_TOKENS);
+    }
+
+    @Override
+    public RequestClass read(SectionReader in) {
+        String upstream = in.required(UPSTREAM, Value.NAMED);
+        String model = in.optional(MODEL, Value.MODEL_NAME, "");
+        String version = in.optional(VERSION, Value.MODEL_NAME, "");
+        int tier = in.required(TIER, Value.integer(1, TIERS)).intValue();
+        long target = in.required(TARGET, Value.integer(1, LONGEST_TARGET_MILLIS));
+        long interval = in.optional(TOKEN_INTERVAL, Value.integer(0, LONGEST_INTERVAL_MILLIS), 0L);
+        boolean idempotent = in.required(IDEMPOTENT, Value.BOOLEAN);
+        boolean lateIsUseless = in.optional(LATE_IS_USELESS, Value.BOOLEAN, false);
+        double share = in.optional(MINIMUM_SHARE, Value.decimal(0, 1), 0.0);
+        long waiting = in.optional(MAX_WAITING, Value.integer(1, MOST_WAITING), DEFAULT_WAITING);
+        long fewest = model.isEmpty() ? 1 : DEFAULT_TOKENS;
+        long tokens = in.optional(MAX_OUTPUT_TOKENS, Value.integer(1, MOST_TOKENS), fewest);
+        return new RequestClass(
+                in.name(),
+                upstream,
+                model,
+                version,
+                tier,
+                target,
+                interval,
+                idempotent,
+                lateIsUseless,
+                share,
+                (int) waiting,
+                (int) tokens);
+    }
+
+    @Override
+    public Map<String, String> write(RequestClass value) {
+        Map<String, String> entries = new LinkedHashMap<>();
+        entries.put(UPSTREAM, value.upstream());
+        if (!value.model().isEmpty()) {
+            entries.put(MODEL, value.model());
+        }
+        if (!value.version().isEmpty()) {
+            entries.put(VERSION, value.version());
+        }
+        entries.put(TIER, String.valueOf(value.tier()));
+        entries.put(TARGET, String.valueOf(value.targetMillis()));
+        entries.put(TOKEN_INTERVAL, String.valueOf(value.tokenIntervalMillis()));
+        entries.put(IDEMPOTENT, String.valueOf(value.idempotent()));
+        entries.put(LATE_IS_USELESS, String.valueOf(value.lateIsUseless()));
+        entries.put(MINIMUM_SHARE, Decimals.text(value.minimumShare()));
+        entries.put(MAX_WAITING, String.valueOf(value.maxWaiting()));
+        entries.put(MAX_OUTPUT_TOKENS, String.valueOf(value.maxOutputTokens()));
+        return entries;
+    }
+
+    @Override
+    public String name(RequestClass value) {
+        return value.name();
+    }
+}
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Configuration.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Configuration.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 /**
- * A checked configuration document: what is in force under one number.
+ * A checked configuration document: what is in force under one number. Look-ups take constant time.
  *
  * @param number the number that the platform published it under
  * @param digest SHA-256 of the canonical text, lower-case hexadecimal; equal for equal content
@@ -14,6 +14,16 @@
  */
 public record Configuration(
         long number, String digest, List<RequestClass> classes, List<Customer> customers, List<Upstream> upstreams) {
+    private static final int BY_NAME = 0;
+    private static final int BY_KEY = 1;
+
+    /** Indexes the lists for the look-ups. */
+    public Configuration {
+        classes = IndexedList.of(classes, List.of(RequestClass::name));
+        customers = IndexedList.of(customers, List.of(Customer::name, Customer::keySha256));
+        upstreams = IndexedList.of(upstreams, List.of(Upstream::name));
+    }
+
     /**
      * Finds a request class.
      *
@@ -21,7 +31,17 @@
      * @return the class, or empty if there is none
      */
     public Optional<RequestClass> requestClass(String name) {
-        return classes.stream().filter(each -> each.name().equals(name)).findFirst();
+        return IndexedList.find(classes, BY_NAME, name);
+    }
+
+    /**
+     * Finds a customer.
+     *
+     * @param name its name
+     * @return the customer, or empty if there is none
+     */
+    public Optional<Customer> customer(String name) {
+        return IndexedList.find(customers, BY_NAME, name);
     }
 
     /**
@@ -31,9 +51,7 @@
      * @return the customer, or empty if there is none
      */
     public Optional<Customer> customerOfKey(String keySha256) {
-        return customers.stream()
-                .filter(each -> each.keySha256().equals(keySha256))
-                .findFirst();
+        return IndexedList.find(customers, BY_KEY, keySha256);
     }
 
     /**
@@ -43,6 +61,6 @@
      * @return the upstream, or empty if there is none
      */
     public Optional<Upstream> upstream(String name) {
-        return upstreams.stream().filter(each -> each.name().equals(name)).findFirst();
+        return IndexedList.find(upstreams, BY_NAME, name);
     }
 }
--- /dev/null
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/CustomerSection.java
@@ -0,0 +1,54 @@
+package org.dotterelcourse.configuration;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** {@code [customer NAME]}: a customer. */
+final class CustomerSection implements SectionKind<Customer> {
+    static final String KEY_SHA256 = "key-sha256";
+    static final String CLASSES = "classes";
+    static final String DEFAULT_CLASS = "default-class";
+    static final String REQUESTS_PER_SECOND = "requests-per-second";
+    static final String TOKENS_PER_SECOND = "tokens-per-second";
+
+    private static final double LEAST_RATE = 0.001;
+    private static final double HIGHEST_RATE = 1_000_000_000;
+
+    @Override
+    public String word() {
+        return "customer";
+    }
+
+    @Override
+    public List<String> keys() {
+        return List.of(KEY_SHA256, CLASSES, DEFAULT_CLASS, REQUESTS_PER_SECOND, TOKENS_PER_SECOND);
+    }
+
+    @Override
+    public Customer read(SectionReader in) {
+        return new Customer(
+                in.name(),
+                in.required(KEY_SHA256, Value.DIGEST),
+                in.required(CLASSES, Value.NAMES),
+                in.required(DEFAULT_CLASS, Value.NAMED),
+                in.required(REQUESTS_PER_SECOND, Value.decimal(LEAST_RATE, HIGHEST_RATE)),
+                in.required(TOKENS_PER_SECOND, Value.decimal(LEAST_RATE, HIGHEST_RATE)));
+    }
+
+    @Override
+    public Map<String, String> write(Customer value) {
+        Map<String, String> entries = new LinkedHashMap<>();
+        entries.put(KEY_SHA256, value.keySha256());
+        entries.put(CLASSES, String.join(", ", value.classes()));
+        entries.put(DEFAULT_CLASS, value.defaultClass());
+        entries.put(REQUESTS_PER_SECOND, Decimals.text(value.requestsPerSecond()));
+        entries.put(TOKENS_PER_SECOND, Decimals.text(value.tokensPerSecond()));
+        return entries;
+    }
+
+    @Override
+    public String name(Customer value) {
+        return value.name();
+    }
+}
--- /dev/null
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/DaemonSettingsReader.java
@@ -0,0 +1,120 @@
+package org.dotterelcourse.configuration;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the settings file of a daemon, and reports everything that is wrong with it together. */
+public final class DaemonSettingsReader {
+    private static final String NAME = "name";
+    private static final String DATA_CENTRE = "data-centre";
+    private static final String REGION = "region";
+    private static final String AUDIT_FILE = "audit-file";
+    private static final String DRAIN_LIMIT = "drain-limit-seconds";
+    private static final String ADDRESS = "address";
+    private static final String CALLERS_PORT = "callers-port";
+    private static final String OPERATORS_PORT = "operators-port";
+    private static final String PEERS_PORT = "peers-port";
+    private static final String CONFIGURATION_SERVICE = "configuration-service";
+    private static final String VM_LIST = "vm-list";
+    private static final String READS_PER_SECOND = "reads-per-second";
+    private static final String MAX_BODY_BYTES = "max-body-bytes";
+    private static final String TIME_TO_LIVE = "addresses-time-to-live-seconds";
+
+    private static final Map<String, List<String>> KEYS = keys();
+
+    private static final Value<Long> PORT = Value.integer(0, 65_535);
+    private static final long DEFAULT_CALLERS_PORT = 8080;
+    private static final long DEFAULT_OPERATORS_PORT = 9090;
+    private static final long DEFAULT_PEERS_PORT = 7946;
+    private static final double DEFAULT_READS_PER_SECOND = 5;
+    private static final double LEAST_READS_PER_SECOND = 0.1;
+    private static final double MOST_READS_PER_SECOND = 2_000;
+    private static final long LEAST_BODY_BYTES = 1_024;
+    private static final long MOST_BODY_BYTES = 64L << 20;
+    private static final long DEFAULT_BODY_BYTES = 1L << 20;
+    private static final long DEFAULT_TIME_TO_LIVE_SECONDS = 20;
+    private static final long LONGEST_TIME_TO_LIVE_SECONDS = 3_600;
+    private static final long DEFAULT_DRAIN_SECONDS = 300;
+    private static final long LONGEST_DRAIN_SECONDS = 86_400;
+
+    /**
+     * Reads a settings file.
+     *
+     * @param name the file's name, for findings
+     * @param ini the text
+     * @return the settings, or all findings
+     */
+    public Checked<DaemonSettings> read(String name, String ini) {
+        Findings findings = new Findings();
+        Map<String, IniSection> sections = new LinkedHashMap<>();
+        for (IniSection section : IniText.read(name, ini, findings)) {
+            if (!KEYS.containsKey(section.header())) {
+                String found = NearestName.hint(section.header(), KEYS.keySet());
+                findings.add(
+                        name, section.header(), "", "one of the sections " + String.join(", ", KEYS.keySet()), found);
+            }
+            sections.put(section.header(), section);
+        }
+        Map<String, SectionReader> readers = new LinkedHashMap<>();
+        KEYS.forEach((header, keys) -> {
+            IniSection empty = new IniSection(name, header, Map.of());
+            readers.put(header, new SectionReader(sections.getOrDefault(header, empty), keys, findings));
+        });
+        DaemonSettings settings = settings(readers);
+        return findings.none() ? new Checked.Valid<>(settings) : findings.invalid();
+    }
+
+    private static DaemonSettings settings(Map<String, SectionReader> readers) {
+        SectionReader daemon = readers.get("daemon");
+        SectionReader listen = readers.get("listen");
+        SectionReader platform = readers.get("platform");
+        SectionReader edge = readers.get("edge");
+        long drainSeconds =
+                daemon.optional(DRAIN_LIMIT, Value.integer(1, LONGEST_DRAIN_SECONDS), DEFAULT_DRAIN_SECONDS);
+        long timeToLiveSeconds = edge.optional(
+                TIME_TO_LIVE, Value.integer(1, LONGEST_TIME_TO_LIVE_SECONDS), DEFAULT_TIME_TO_LIVE_SECONDS);
+        DaemonSettings settings = new DaemonSettings(
+                daemon.required(NAME, Value.NAMED),
+                listen.required(ADDRESS, Value.IP_NUMBER),
+                daemon.required(DATA_CENTRE, Value.NAMED),
+                daemon.required(REGION, Value.NAMED),
+                listen.optional(CALLERS_PORT, PORT, DEFAULT_CALLERS_PORT).intValue(),
+                listen.optional(OPERATORS_PORT, PORT, DEFAULT_OPERATORS_PORT).intValue(),
+                listen.optional(PEERS_PORT, PORT, DEFAULT_PEERS_PORT).intValue(),
+                platform.required(CONFIGURATION_SERVICE, Value.ADDRESS),
+                platform.required(VM_LIST, Value.ADDRESS),
+                platform.optional(
+                        READS_PER_SECOND,
+                        Value.decimal(LEAST_READS_PER_SECOND, MOST_READS_PER_SECOND),
+                        DEFAULT_READS_PER_SECOND),
+                edge.optional(MAX_BODY_BYTES, Value.integer(LEAST_BODY_BYTES, MOST_BODY_BYTES), DEFAULT_BODY_BYTES)
+                        .intValue(),
+                Duration.ofSeconds(timeToLiveSeconds),
+                Duration.ofSeconds(drainSeconds),
+                daemon.optional(AUDIT_FILE, Value.FILE, ""));
+        checkPorts(listen, settings);
+        return settings;
+    }
+
+    private static void checkPorts(SectionReader listen, DaemonSettings settings) {
+        if (settings.operatorsPort() != 0 && settings.operatorsPort() == settings.callersPort()) {
+            listen.add(OPERATORS_PORT, "a port other than " + CALLERS_PORT, "the same");
+        }
+        boolean peersTaken =
+                settings.peersPort() == settings.callersPort() || settings.peersPort() == settings.operatorsPort();
+        if (settings.peersPort() != 0 && peersTaken) {
+            listen.add(PEERS_PORT, "a port other than " + CALLERS_PORT + " and " + OPERATORS_PORT, "one of them");
+        }
+    }
+
+    private static Map<String, List<String>> keys() {
+        Map<String, List<String>> keys = new LinkedHashMap<>();
+        keys.put("daemon", List.of(NAME, DATA_CENTRE, REGION, AUDIT_FILE, DRAIN_LIMIT));
+        keys.put("listen", List.of(ADDRESS, CALLERS_PORT, OPERATORS_PORT, PEERS_PORT));
+        keys.put("platform", List.of(CONFIGURATION_SERVICE, VM_LIST, READS_PER_SECOND));
+        keys.put("edge", List.of(MAX_BODY_BYTES, TIME_TO_LIVE));
+        return keys;
+    }
+}
--- /dev/null
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniConfigurationReader.java
@@ -0,0 +1,65 @@
+package org.dotterelcourse.configuration;
+
+import java.util.List;
+
+/**
+ * Reads documents and patches in INI. A text with findings has no effect at all; a patch is applied only to the
+ * configuration whose number it names, and the result is checked as a whole.
+ */
+public final class IniConfigurationReader implements ConfigurationReader {
+    @Override
+    public Checked<Configuration> read(long number, String name, String ini) {
+        Findings findings = new Findings();
+        Draft draft = new Draft();
+        for (IniSection section : IniText.read(name, ini, findings)) {
+            add(section, draft, findings);
+        }
+        return finish(number, name, draft, findings);
+    }
+
+    @Override
+    public Checked<Configuration> fold(Configuration base, long number, String name, String ini) {
+        Findings findings = new Findings();
+        PatchText patch = new PatchText(name, ini, findings);
+        if (number <= base.number()) {
+            findings.add(name, "", "", "to be published above number " + base.number(), "number " + number);
+        }
+        if (findings.none() && patch.header().base() != base.number()) {
+            String found = String.valueOf(patch.header().base());
+            findings.add(name, "patch", "base", String.valueOf(base.number()), found);
+        }
+        Draft draft = Draft.of(base);
+        patch.applyTo(draft);
+        return finish(number, name, draft, findings);
+    }
+
+    /**
+     * Reads who made a patch, why, and against which number.
+     *
+     * @param name the patch's name, for findings
+     * @param ini the text
+     * @return the header, or all findings of the patch's form; its changes are not checked
+     */
+    public Checked<PatchHeader> header(String name, String ini) {
+        Findings findings = new Findings();
+        PatchText patch = new PatchText(name, ini, findings);
+        return findings.none() ? new Checked.Valid<>(patch.header()) : findings.invalid();
+    }
+
+    private static void add(IniSection section, Draft draft, Findings findings) {
+        SectionRecords<?> records = draft.ofKind(section.kind());
+        if (records != null) {
+            records.add(section, findings);
+            return;
+        }
+        List<String> words = draft.words();
+        String start = section.header().split(" ", 2)[0];
+        String expected = "a section [KIND NAME] with a kind of " + String.join(", ", words);
+        findings.add(section.file(), section.header(), "", expected, NearestName.hint(start, words));
+    }
+
+    private static Checked<Configuration> finish(long number, String name, Draft draft, Findings findings) {
+        new DraftChecks(name, draft, findings).run();
+        return findings.none() ? new Checked.Valid<>(draft.build(number)) : findings.invalid();
+    }
+}
--- /dev/null
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/WorkerSection.java
@@ -0,0 +1,43 @@
+package org.dotterelcourse.configuration;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** {@code [worker NAME]}: a worker of an upstream. */
+final class WorkerSection implements SectionKind<PlacedWorker> {
+    static final String UPSTREAM = "upstream";
+    static final String ADDRESS = "address";
+    static final String DATA_CENTRE = "data-centre";
+
+    @Override
+    public String word() {
+        return "worker";
+    }
+
+    @Override
+    public List<String> keys() {
+        return List.of(UPSTREAM, ADDRESS, DATA_CENTRE);
+    }
+
+    @Override
+    public PlacedWorker read(SectionReader in) {
+        String upstream = in.required(UPSTREAM, Value.NAMED);
+        String address = in.required(ADDRESS, Value.ADDRESS);
+        return new PlacedWorker(upstream, new Worker(in.name(), address, in.required(DATA_CENTRE, Value.NAMED)));
+    }
+
+    @Override
+    public Map<String, String> write(PlacedWorker value) {
+        Map<String, String> entries = new LinkedHashMap<>();
+        entries.put(UPSTREAM, value.upstream());
+        entries.put(ADDRESS, value.worker().address());
+        entries.put(DATA_CENTRE, value.worker().dataCentre());
+        return entries;
+    }
+
+    @Override
+    public String name(PlacedWorker value) {
+        return value.worker().name();
+    }
+}
