--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Commands.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Commands.java
@@ -19,15 +19,15 @@
 final class Commands {
     private Commands() {}
 
-    static int serve(StandIn part, ObjectNode ready) throws InterruptedException {
-        Runtime.getRuntime().addShutdownHook(new Thread(part::close, "close"));
+    static int serve(Runnable close, ObjectNode ready) throws InterruptedException {
+        Runtime.getRuntime().addShutdownHook(new Thread(close, "close"));
         System.out.println(Json.text(ready));
         new CountDownLatch(1).await();
         return 0;
     }
 
     static int serve(StandIn part) throws InterruptedException {
-        return serve(part, Json.object().put("ready", true).put("address", part.address()));
+        return serve(part::close, Json.object().put("ready", true).put("address", part.address()));
     }
 
     /** Options that every stand-in has. */
@@ -178,7 +178,48 @@
         @Override
         public Integer call() throws Exception {
             Platform platform = Platform.read(Path.of(file)).start();
-            return serve(platform, platform.ready());
+            return serve(platform::close, platform.ready());
+        }
+    }
+
+    /** The fault-injecting proxy. */
+    @Command(name = "proxy", description = "A proxy that injects faults; switched by POST /links on its control port")
+    public static final class Proxy extends Listening {
+        @Option(name = "--tcp", description = "NAME=127.0.0.1:PORT, a TCP target; may be repeated")
+        private List<String> tcp = new ArrayList<>();
+
+        @Option(name = "--udp", description = "NAME=127.0.0.1:PORT, a UDP target; may be repeated")
+        private List<String> udp = new ArrayList<>();
+
+        @Option(name = "--seed", description = "seed of the random choices")
+        private long seed = 1;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            FaultProxy proxy = new FaultProxy(seed);
+            tcp.forEach(each -> proxy.tcp(name(each), 0, target(each)));
+            udp.forEach(each -> proxy.udp(name(each), 0, target(each)));
+            ProxyControl control = new ProxyControl(proxy, port).start();
+            ObjectNode ready = Json.object().put("ready", true).put("address", control.address());
+            ready.set("links", proxy.describe());
+            return serve(
+                    () -> {
+                        control.close();
+                        proxy.close();
+                    },
+                    ready);
+        }
+
+        private static String name(String pair) {
+            int equals = pair.indexOf('=');
+            if (equals < 1) {
+                throw new IllegalArgumentException("a target is NAME=127.0.0.1:PORT, not " + pair);
+            }
+            return pair.substring(0, equals);
+        }
+
+        private static String target(String pair) {
+            return pair.substring(pair.indexOf('=') + 1);
         }
     }
 }
