--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
@@ -0,0 +1,109 @@
+package org.dotterelcourse.daemon;
+
+import java.time.Clock;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.dotterelcourse.configuration.DaemonSettings;
+import org.dotterelcourse.configuration.IniConfigurationReader;
+import org.dotterelcourse.daemon.audit.AuditTrail;
+import org.dotterelcourse.daemon.dispatch.AskIds;
+import org.dotterelcourse.daemon.dispatch.BoundedRetries;
+import org.dotterelcourse.daemon.dispatch.Dispatchers;
+import org.dotterelcourse.daemon.dispatch.LocalGrants;
+import org.dotterelcourse.daemon.edge.AddressBook;
+import org.dotterelcourse.daemon.edge.CallersEdge;
+import org.dotterelcourse.daemon.kernel.ControlLoop;
+import org.dotterelcourse.daemon.kernel.Kernel;
+import org.dotterelcourse.daemon.kernel.StartFinding;
+import org.dotterelcourse.daemon.metrics.RequestMetrics;
+import org.dotterelcourse.daemon.operators.Drain;
+import org.dotterelcourse.daemon.operators.OperatorsEdge;
+import org.dotterelcourse.daemon.peers.Peers;
+import org.dotterelcourse.daemon.platform.ConfigurationStore;
+import org.dotterelcourse.daemon.platform.ConfigurationWatcher;
+import org.dotterelcourse.daemon.platform.HttpConfigSource;
+import org.dotterelcourse.daemon.platform.HttpVmList;
+import org.dotterelcourse.daemon.platform.VmWatcher;
+import org.dotterelcourse.daemon.upstream.HttpEngine;
+import org.dotterelcourse.daemon.upstream.HttpPlainService;
+import org.dotterelcourse.daemon.upstream.UpstreamTimeouts;
+import org.dotterelcourse.policy.cell.FifoScheduler;
+
+/** One daemon: its services, put together from its settings. */
+public final class Daemon {
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
+    private static final int MAX_WAITING = 10_000;
+
+    private final Kernel kernel = new Kernel();
+
+    /**
+     * Puts a daemon together; nothing runs before {@link #start()}.
+     *
+     * @param settings its settings
+     */
+    public Daemon(DaemonSettings settings) {
+        long incarnation = System.currentTimeMillis();
+        UpstreamTimeouts timeouts = UpstreamTimeouts.DEFAULT;
+        kernel.register(new ControlLoop())
+                .register(new AuditTrail(Clock.systemUTC(), settings.auditFile()))
+                .register(new ConfigurationStore())
+                .register(new ConfigurationWatcher(
+                        HttpConfigSource.withBudget(settings.configurationService(), settings.readsPerSecond()),
+                        new IniConfigurationReader()))
+                .register(new VmWatcher(new HttpVmList(settings.vmList())))
+                .register(new Peers(settings))
+                .register(new LocalGrants(cell -> new FifoScheduler(MAX_WAITING, RandomGenerator.getDefault())))
+                .register(new Dispatchers(
+                        new HttpEngine(timeouts),
+                        new HttpPlainService(timeouts.connect(), MAX_ANSWER_BYTES),
+                        new BoundedRetries(),
+                        new AskIds(settings.name(), incarnation)))
+                .register(new RequestMetrics())
+                .register(new AddressBook(settings))
+                .register(new CallersEdge(settings))
+                .register(new Drain(settings))
+                .register(new OperatorsEdge(settings));
+    }
+
+    /**
+     * Starts every service.
+     *
+     * @return what kept it from starting, empty if it runs
+     */
+    public List<StartFinding> start() {
+        return kernel.start();
+    }
+
+    /** Stops every service at once; {@link #drain} comes first where requests are not to be cut off. */
+    public void stop() {
+        kernel.stop();
+    }
+
+    /**
+     * The shutdown that cuts off no request.
+     *
+     * @return its service
+     */
+    public Drain drain() {
+        return kernel.find(Drain.NAME);
+    }
+
+    /**
+     * The TCP port for callers.
+     *
+     * @return the port it listens on
+     */
+    public int callersPort() {
+        return kernel.find(CallersEdge.NAME).port();
+    }
+
+    /**
+     * The TCP port for operators.
+     *
+     * @return the port it listens on
+     */
+    public int operatorsPort() {
+        return kernel.find(OperatorsEdge.NAME).port();
+    }
+}
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Main.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Main.java
@@ -1,13 +1,36 @@
 package org.dotterelcourse.daemon;
 
-/** Entry point. */
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.parser.errors.ParseException;
+
+/** Entry point of the daemon. */
 public final class Main {
+    static {
+        // Before any class asks for a logger: the log manager can't be changed once one exists.
+        System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
+        System.setProperty("org.jboss.logging.provider", "jboss");
+        // The platform's VMs are not to be used through anything but plain sockets.
+        System.setProperty("reactor.netty.native", "false");
+    }
+
     private Main() {}
 
     /**
-     * Runs the program.
+     * Runs the daemon. Exit code 2 means that nothing was started: the settings or the command line are wrong.
      *
      * @param args the command line
+     * @throws InterruptedException if the main thread is interrupted
      */
-    public static void main(String[] args) {}
+    public static void main(String[] args) throws InterruptedException {
+        RunCommand command;
+        try {
+            command = SingleCommand.singleCommand(RunCommand.class).parse(args);
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            System.err.println("usage: dotterelcourse --settings FILE");
+            System.exit(RunCommand.EXIT_NOT_STARTED);
+            return;
+        }
+        System.exit(command.run());
+    }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
@@ -20,6 +20,7 @@
     private final GrantSource grants;
     private final Engine engine;
     private final RetryPolicy retries;
+    private final AskIds ids;
 
     /**
      * Makes a dispatcher.
@@ -27,11 +28,13 @@
      * @param grants where the leave to use a worker comes from
      * @param engine sends to workers
      * @param retries decides what follows a failure
+     * @param ids makes the id of each ask
      */
-    public ChatDispatcher(GrantSource grants, Engine engine, RetryPolicy retries) {
+    public ChatDispatcher(GrantSource grants, Engine engine, RetryPolicy retries, AskIds ids) {
         this.grants = grants;
         this.engine = engine;
         this.retries = retries;
+        this.ids = ids;
     }
 
     /**
@@ -107,10 +110,10 @@
         return Flux.just(new AnswerEvent.Failed(Refusals.failure(failure, progress.mayHaveRun())));
     }
 
-    private static Ask ask(ChatProgress progress) {
+    private Ask ask(ChatProgress progress) {
         ChatCall call = progress.call();
         return new Ask(
-                call.id(),
+                ids.next(),
                 terms(call.requestClass()),
                 call.customer(),
                 call.arrivalNanos(),
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ServiceDispatcher.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ServiceDispatcher.java
@@ -25,6 +25,7 @@
     private final GrantSource grants;
     private final PlainService service;
     private final RetryPolicy retries;
+    private final AskIds ids;
 
     /**
      * Makes a dispatcher.
@@ -32,11 +33,13 @@
      * @param grants where the leave to use a worker comes from
      * @param service calls workers
      * @param retries decides what follows a failure
+     * @param ids makes the id of each ask
      */
-    public ServiceDispatcher(GrantSource grants, PlainService service, RetryPolicy retries) {
+    public ServiceDispatcher(GrantSource grants, PlainService service, RetryPolicy retries, AskIds ids) {
         this.grants = grants;
         this.service = service;
         this.retries = retries;
+        this.ids = ids;
     }
 
     /**
@@ -50,7 +53,7 @@
     }
 
     private Mono<ServiceAnswer> attempt(Attempts attempts) {
-        return grants.ask(attempts.request.requestClass().upstream(), attempts.ask())
+        return grants.ask(attempts.request.requestClass().upstream(), attempts.ask(ids.next()))
                 .flatMap(result -> {
                     if (result instanceof GrantResult.Granted granted) {
                         return use(attempts, granted.grant());
@@ -108,10 +111,10 @@
             mayHaveRun |= !failure.notRun();
         }
 
-        private Ask ask() {
+        private Ask ask(String id) {
             RequestClass requestClass = request.requestClass();
             return new Ask(
-                    request.id(),
+                    id,
                     ChatDispatcher.terms(requestClass),
                     request.customer(),
                     request.arrivalNanos(),
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** What the HTTP sides share. */
+package org.dotterelcourse.daemon.http;
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestMetrics.java
@@ -0,0 +1,93 @@
+package org.dotterelcourse.daemon.metrics;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.dotterelcourse.configuration.RequestClass;
+import org.dotterelcourse.daemon.dispatch.Outcome;
+import org.dotterelcourse.daemon.kernel.Kernel;
+import org.dotterelcourse.daemon.kernel.Service;
+import org.dotterelcourse.daemon.kernel.ServiceName;
+import org.dotterelcourse.daemon.kernel.StartFinding;
+import org.jboss.logging.Logger;
+import org.jboss.logging.MDC;
+
+/** Counts requests by class and outcome, times them, and writes one log line for each. */
+public final class RequestMetrics implements Service {
+    /** The name that it is found by. */
+    public static final ServiceName<RequestMetrics> NAME = new ServiceName<>("metrics", RequestMetrics.class);
+
+    private static final Logger LOG = Logger.getLogger("org.dotterelcourse.requests");
+
+    private final MetricRegistry registry = new MetricRegistry();
+
+    @Override
+    public ServiceName<RequestMetrics> name() {
+        return NAME;
+    }
+
+    @Override
+    public List<ServiceName<?>> dependencies() {
+        return List.of();
+    }
+
+    @Override
+    public List<StartFinding> start(Kernel kernel) {
+        return List.of();
+    }
+
+    @Override
+    public void stop() {
+        // Nothing runs.
+    }
+
+    /**
+     * The registry that every metric of the daemon is in.
+     *
+     * @return the registry
+     */
+    public MetricRegistry registry() {
+        return registry;
+    }
+
+    /**
+     * Watches a request.
+     *
+     * @param id its id
+     * @param customer the customer's name
+     * @param requestClass its class
+     * @param arrivalNanos when it came
+     * @return the watch
+     */
+    public RequestWatch watch(String id, String customer, RequestClass requestClass, long arrivalNanos) {
+        return new RequestWatch(this, id, customer, requestClass, arrivalNanos);
+    }
+
+    void ended(RequestWatch request, Outcome outcome, String reason) {
+        String prefix = "class." + request.requestClass() + ".";
+        registry.counter(prefix + "outcome." + outcome.word()).inc();
+        boolean answered = outcome instanceof Outcome.Answered;
+        boolean attained = answered && request.attained();
+        registry.counter(prefix + (attained ? "attained" : "missed")).inc();
+        registry.counter(prefix + "tokens").inc(request.tokens());
+        if (request.firstNanos() >= 0) {
+            registry.timer(prefix + "first").update(request.firstNanos(), TimeUnit.NANOSECONDS);
+        }
+        registry.timer(prefix + "duration").update(request.durationNanos(), TimeUnit.NANOSECONDS);
+        log(request, outcome, reason, attained);
+    }
+
+    private static void log(RequestWatch request, Outcome outcome, String reason, boolean attained) {
+        MDC.put("requestId", request.id());
+        MDC.put("class", request.requestClass());
+        MDC.put("customer", request.customer());
+        MDC.put("outcome", outcome.word());
+        MDC.put("reason", reason);
+        MDC.put("attained", attained);
+        MDC.put("tokens", request.tokens());
+        MDC.put("durationMillis", TimeUnit.NANOSECONDS.toMillis(request.durationNanos()));
+        LOG.info("request");
+        MDC.clear();
+    }
+}
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counts and times of requests, for operators. */
+package org.dotterelcourse.daemon.metrics;
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/HttpConfigSource.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/HttpConfigSource.java
@@ -36,6 +36,17 @@
         this.mayRead = mayRead;
     }
 
+    /**
+     * Makes a reader with a budget of its own.
+     *
+     * @param address IP number and port
+     * @param readsPerSecond how many calls a second it may make in the long run
+     * @return the reader
+     */
+    public static HttpConfigSource withBudget(String address, double readsPerSecond) {
+        return new HttpConfigSource(address, new ReadBudget(readsPerSecond, System::nanoTime)::take);
+    }
+
     @Override
     public Mono<Long> head() {
         return read("/v1/configuration/head", READ_TIMEOUT).map(answer -> numberIn(answer.body()));
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpPlainService.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpPlainService.java
@@ -1,14 +1,13 @@
 package org.dotterelcourse.daemon.upstream;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
+import org.dotterelcourse.daemon.http.BoundedBody;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -20,7 +19,7 @@
 
     private final HttpClient pooled;
     private final HttpClient fresh;
-    private final int maxBodyBytes;
+    private final BoundedBody bodies;
 
     /**
      * Makes a client with a connection pool of its own.
@@ -31,7 +30,7 @@
     public HttpPlainService(Duration connect, int maxBodyBytes) {
         this.pooled = UpstreamClients.pooled(connect);
         this.fresh = UpstreamClients.fresh(connect);
-        this.maxBodyBytes = maxBodyBytes;
+        this.bodies = new BoundedBody(maxBodyBytes);
     }
 
     @Override
@@ -66,24 +65,11 @@
             return content.thenMany(Flux.just(failed(refused)));
         }
         String contentType = response.responseHeaders().get("Content-Type", "application/octet-stream");
-        return whole(content)
+        return bodies.collect(content)
                 .<ServiceReply>map(body -> new ServiceReply.Answered(status, contentType, body))
                 .flux();
     }
 
-    /** A service that answers without end would fill the memory of an entry VM; the bound turns that into one failure. */
-    private Mono<byte[]> whole(Flux<ByteBuf> content) {
-        return content.collect(ByteArrayOutputStream::new, this::append).map(ByteArrayOutputStream::toByteArray);
-    }
-
-    private void append(ByteArrayOutputStream body, ByteBuf part) {
-        if (body.size() + part.readableBytes() > maxBodyBytes) {
-            throw new IllegalStateException("the answer is longer than " + maxBodyBytes + " bytes");
-        }
-        byte[] bytes = ByteBufUtil.getBytes(part);
-        body.write(bytes, 0, bytes.length);
-    }
-
     private static ServiceReply failed(UpstreamFailure failure) {
         return new ServiceReply.Failed(failure);
     }
