--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/ClassQueue.java
@@ -0,0 +1,157 @@
+package org.dotterelcourse.policy.queue;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Function;
+
+import org.dotterelcourse.policy.cell.ClassTerms;
+
+/**
+ * The waiting requests of one class. Customers take turns by deficit round robin (Shreedhar and Varghese, 1995),
+ * measured in work, so that a customer with many or long requests gets no more of the class than one with few.
+ *
+ * <p>The quantum is the largest work seen of late. It is never below the work of a head, so that one visit is enough to
+ * serve a customer, and a turn costs O(log n).
+ */
+final class ClassQueue {
+    /** How many customers' heads are tried for a place in one go; bounds the cost of a decision. */
+    private static final int MAX_HEADS_TRIED = 16;
+
+    /** The quantum's memory: after a hundred requests without a long one it has fallen by two thirds. */
+    private static final double QUANTUM_DECAY = 0.99;
+
+    private static final Comparator<CustomerQueue> FEWEST_WAITING =
+            Comparator.comparingInt(CustomerQueue::size).thenComparing(CustomerQueue::customer);
+
+    private final String name;
+    private final boolean customersShare;
+    /** In the order of their turns. */
+    private final Map<String, CustomerQueue> customers = new LinkedHashMap<>();
+
+    private final TreeSet<CustomerQueue> bySize = new TreeSet<>(FEWEST_WAITING);
+    private final ClassAccount account = new ClassAccount();
+    private ClassTerms terms;
+    private double quantum;
+    private double work;
+    private int size;
+
+    ClassQueue(ClassTerms terms, boolean customersShare) {
+        this.name = terms.name();
+        this.terms = terms;
+        this.customersShare = customersShare;
+    }
+
+    String name() {
+        return name;
+    }
+
+    ClassTerms terms() {
+        return terms;
+    }
+
+    ClassAccount account() {
+        return account;
+    }
+
+    /** The largest work of late. */
+    double quantum() {
+        return quantum;
+    }
+
+    int size() {
+        return size;
+    }
+
+    double work() {
+        return work;
+    }
+
+    void add(Waiting waiting) {
+        terms = waiting.ask().terms();
+        quantum = Math.max(quantum * QUANTUM_DECAY, waiting.work());
+        CustomerQueue queue = customers.get(key(waiting));
+        if (queue == null) {
+            queue = new CustomerQueue(key(waiting));
+            customers.put(queue.customer(), queue);
+        } else {
+            bySize.remove(queue);
+        }
+        queue.add(waiting);
+        bySize.add(queue);
+        size++;
+        work += waiting.work();
+    }
+
+    void remove(Waiting waiting) {
+        CustomerQueue queue = customers.get(key(waiting));
+        bySize.remove(queue);
+        queue.remove(waiting);
+        size--;
+        work = size == 0 ? 0 : work - waiting.work();
+        if (queue.size() > 0) {
+            bySize.add(queue);
+            return;
+        }
+        customers.remove(queue.customer());
+    }
+
+    /** Takes out the next request of this class for which there is a place. */
+    <P> Optional<WaitingQueue.Taken<P>> next(Function<Waiting, Optional<P>> placer, boolean owed) {
+        int tries = Math.min(MAX_HEADS_TRIED, customers.size());
+        for (int i = 0; i < tries; i++) {
+            CustomerQueue queue = first();
+            Waiting head = queue.first();
+            Optional<P> place = placer.apply(head);
+            if (place.isPresent()) {
+                serve(queue, head);
+                return Optional.of(new WaitingQueue.Taken<>(head, place.get(), owed));
+            }
+            endTurn(queue);
+        }
+        return Optional.empty();
+    }
+
+    Waiting head() {
+        return first().first();
+    }
+
+    /** The newest request of the customer who has most waiting, so that a flood pushes out its own. */
+    Waiting newestOfLongest() {
+        return bySize.last().newest();
+    }
+
+    /** The work of this class that is served before a new request of the customer. */
+    double workAhead(Waiting waiting) {
+        CustomerQueue queue = customers.get(key(waiting));
+        double own = queue == null ? 0 : queue.work();
+        int turns = customers.size() + (queue == null ? 1 : 0);
+        return Math.min(work, (own + waiting.work()) * turns - waiting.work());
+    }
+
+    private void serve(CustomerQueue queue, Waiting head) {
+        if (queue.deficit() < head.work()) {
+            queue.addDeficit(Math.max(quantum, head.work()));
+        }
+        queue.addDeficit(-head.work());
+        remove(head);
+        if (queue.size() > 0 && queue.deficit() < queue.first().work()) {
+            endTurn(queue);
+        }
+    }
+
+    private CustomerQueue first() {
+        return customers.values().iterator().next();
+    }
+
+    private void endTurn(CustomerQueue queue) {
+        customers.remove(queue.customer());
+        customers.put(queue.customer(), queue);
+    }
+
+    private String key(Waiting waiting) {
+        return customersShare ? waiting.ask().customer() : "";
+    }
+}
