--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/retry/RetryDecision.java
@@ -0,0 +1,27 @@
+package org.dotterelcourse.policy.retry;
+
+import org.dotterelcourse.policy.cell.Ask;
+
+/** What follows a failed attempt. */
+public sealed interface RetryDecision {
+    /**
+     * The request is asked for again from its start.
+     *
+     * @param ask the same request with its arrival, its deadline and the failed worker excluded
+     */
+    record Elsewhere(Ask ask) implements RetryDecision {}
+
+    /**
+     * The request is asked for again and goes on after the tokens that the caller has.
+     *
+     * @param ask the same request with its arrival, the tokens so far, and the failed worker excluded if it failed
+     */
+    record Resume(Ask ask) implements RetryDecision {}
+
+    /**
+     * Nothing more is tried.
+     *
+     * @param outcome what the caller is told
+     */
+    record GiveUp(FinalOutcome outcome) implements RetryDecision {}
+}
