--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Configuration.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Configuration.java
@@ -7,7 +7,7 @@
  * A checked configuration document: what is in force under one number. Look-ups take constant time.
  *
  * @param number the number that the platform published it under
- * @param digest SHA-256 of the canonical text, lower-case hexadecimal; equal for equal content
+ * @param digest SHA-256 over the sums of the canonical sections, lower-case hexadecimal; equal for equal content
  * @param classes the request classes, sorted by name
  * @param customers the customers, sorted by name
  * @param upstreams the upstreams, sorted by name
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ConfigurationText.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ConfigurationText.java
@@ -4,11 +4,12 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
 
 /**
- * Writes a configuration as its canonical text: INI, sections in the order classes, customers, upstreams, workers and
- * by name, every key that has a value, one blank on either side of the equals sign.
+ * Writes a configuration as its canonical text: INI, sections in the order classes, customers, upstreams and by
+ * name, an upstream's workers after it, every key that has a value, one blank on either side of the equals sign.
  */
 public final class ConfigurationText {
     private static final ClassSection CLASS = new ClassSection();
@@ -28,21 +29,44 @@
         StringBuilder text = new StringBuilder();
         configuration.classes().forEach(each -> append(text, CLASS, each));
         configuration.customers().forEach(each -> append(text, CUSTOMER, each));
-        configuration.upstreams().forEach(each -> append(text, UPSTREAM, each));
-        for (Upstream upstream : configuration.upstreams()) {
-            upstream.workers().forEach(each -> append(text, WORKER, new PlacedWorker(upstream.name(), each)));
-        }
+        configuration.upstreams().forEach(each -> text.append(withWorkers(each)));
         return text.toString();
     }
 
     /**
-     * The digest of a configuration's content.
+     * Gives a configuration the digest of its content: the SHA-256 over the SHA-256 sums of the canonical texts of its
+     * classes, customers and upstreams, the workers' sections following their upstream's.
      *
-     * @param configuration the configuration; its number and digest have no part in the result
-     * @return the SHA-256 of the canonical text, lower-case hexadecimal
+     * @param content the configuration; its digest has no part in the result
+     * @param base a configuration whose sums are used for what is equal in both, or null
+     * @return the same content with its digest
      */
-    static String digest(Configuration configuration) {
-        return sha256(render(configuration));
+    static Configuration withDigest(Configuration content, Configuration base) {
+        SectionSums<RequestClass> classes = SectionSums.of(
+                content.classes(),
+                base == null ? null : IndexedList.sums(base.classes()),
+                CLASS::name,
+                each -> text(CLASS, each));
+        SectionSums<Customer> customers = SectionSums.of(
+                content.customers(),
+                base == null ? null : IndexedList.sums(base.customers()),
+                CUSTOMER::name,
+                each -> text(CUSTOMER, each));
+        SectionSums<Upstream> upstreams = SectionSums.of(
+                content.upstreams(),
+                base == null ? null : IndexedList.sums(base.upstreams()),
+                UPSTREAM::name,
+                ConfigurationText::withWorkers);
+        MessageDigest digest = newDigest();
+        classes.addTo(digest);
+        customers.addTo(digest);
+        upstreams.addTo(digest);
+        return new Configuration(
+                content.number(),
+                HexFormat.of().formatHex(digest.digest()),
+                IndexedList.of(content.classes(), List.of()).withSums(classes),
+                IndexedList.of(content.customers(), List.of()).withSums(customers),
+                IndexedList.of(content.upstreams(), List.of()).withSums(upstreams));
     }
 
     /**
@@ -52,14 +76,30 @@
      * @return 64 lower-case hexadecimal digits
      */
     public static String sha256(String text) {
+        return HexFormat.of().formatHex(newDigest().digest(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    static MessageDigest newDigest() {
         try {
-            byte[] sum = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(sum);
+            return MessageDigest.getInstance("SHA-256");
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java runtime has SHA-256", e);
         }
     }
 
+    private static <T> String text(SectionKind<T> kind, T value) {
+        StringBuilder text = new StringBuilder();
+        append(text, kind, value);
+        return text.toString();
+    }
+
+    private static String withWorkers(Upstream upstream) {
+        StringBuilder text = new StringBuilder();
+        append(text, UPSTREAM, upstream);
+        upstream.workers().forEach(each -> append(text, WORKER, new PlacedWorker(upstream.name(), each)));
+        return text.toString();
+    }
+
     private static <T> void append(StringBuilder text, SectionKind<T> kind, T value) {
         text.append('[')
                 .append(kind.word())
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/DaemonSettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/DaemonSettingsReader.java
@@ -63,7 +63,7 @@
             readers.put(header, new SectionReader(sections.getOrDefault(header, empty), keys, findings));
         });
         DaemonSettings settings = settings(readers);
-        return findings.none() ? new Checked.Valid<>(settings) : findings.invalid();
+        return findings.none() ? new Checked.Valid<>(settings) : findings.invalid(List.copyOf(KEYS.keySet()));
     }
 
     private static DaemonSettings settings(Map<String, SectionReader> readers) {
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Draft.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Draft.java
@@ -1,7 +1,6 @@
 package org.dotterelcourse.configuration;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -15,6 +14,7 @@
     private final SectionRecords<Upstream> upstreams = new SectionRecords<>(new UpstreamSection());
     private final SectionRecords<PlacedWorker> workers = new SectionRecords<>(new WorkerSection());
     private final Map<String, SectionRecords<?>> byWord = new LinkedHashMap<>();
+    private Configuration base;
 
     Draft() {
         byWord.put(new ClassSection().word(), classes);
@@ -31,12 +31,15 @@
      */
     static Draft of(Configuration base) {
         Draft draft = new Draft();
-        base.classes().forEach(draft.classes::put);
-        base.customers().forEach(draft.customers::put);
+        draft.base = base;
+        draft.classes.startFrom(base.classes());
+        draft.customers.startFrom(base.customers());
+        draft.upstreams.startFrom(base.upstreams());
+        List<PlacedWorker> placed = new ArrayList<>();
         for (Upstream upstream : base.upstreams()) {
-            draft.upstreams.put(upstream);
-            upstream.workers().forEach(each -> draft.workers.put(new PlacedWorker(upstream.name(), each)));
+            upstream.workers().forEach(each -> placed.add(new PlacedWorker(upstream.name(), each)));
         }
+        draft.workers.startFrom(placed);
         return draft;
     }
 
@@ -82,25 +85,25 @@
      * @return the configuration with its digest
      */
     Configuration build(long number) {
+        Configuration content =
+                new Configuration(number, "", classes.sorted(), customers.sorted(), upstreamsWithWorkers());
+        return ConfigurationText.withDigest(content, base);
+    }
+
+    private List<Upstream> upstreamsWithWorkers() {
         Map<String, List<Worker>> workersOf = new HashMap<>();
-        for (PlacedWorker placed : workers.byName().values()) {
+        for (PlacedWorker placed : workers.sorted()) {
             workersOf
                     .computeIfAbsent(placed.upstream(), name -> new ArrayList<>())
                     .add(placed.worker());
         }
         List<Upstream> complete = new ArrayList<>();
-        for (Upstream upstream : upstreams.byName().values()) {
-            List<Worker> own = workersOf.getOrDefault(upstream.name(), List.of());
-            complete.add(withWorkers(upstream, sorted(own, Comparator.comparing(Worker::name))));
+        for (Upstream upstream : upstreams.sorted()) {
+            List<Worker> own = new ArrayList<>(workersOf.getOrDefault(upstream.name(), List.of()));
+            own.sort(Comparator.comparing(Worker::name));
+            complete.add(withWorkers(upstream, List.copyOf(own)));
         }
-        Configuration content = new Configuration(
-                number,
-                "",
-                sorted(classes.byName().values(), Comparator.comparing(RequestClass::name)),
-                sorted(customers.byName().values(), Comparator.comparing(Customer::name)),
-                sorted(complete, Comparator.comparing(Upstream::name)));
-        return new Configuration(
-                number, ConfigurationText.digest(content), content.classes(), content.customers(), content.upstreams());
+        return complete;
     }
 
     private static Upstream withWorkers(Upstream upstream, List<Worker> workers) {
@@ -112,8 +115,4 @@
                 upstream.concurrency(),
                 workers);
     }
-
-    private static <T> List<T> sorted(Collection<T> values, Comparator<T> order) {
-        return values.stream().sorted(order).toList();
-    }
 }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/DraftChecks.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/DraftChecks.java
@@ -1,6 +1,5 @@
 package org.dotterelcourse.configuration;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -30,9 +29,9 @@
     /** Runs all checks. */
     void run() {
         checkNotEmpty();
-        ordered(draft.classes()).forEach(this::checkClass);
-        ordered(draft.customers()).forEach(this::checkCustomer);
-        ordered(draft.workers()).forEach(this::checkWorker);
+        draft.classes().byName().values().forEach(this::checkClass);
+        draft.customers().byName().values().forEach(this::checkCustomer);
+        draft.workers().byName().values().forEach(this::checkWorker);
         checkShares();
         checkKeys();
         checkAddresses();
@@ -129,7 +128,7 @@
 
     private void checkKeys() {
         Map<String, String> owners = new HashMap<>();
-        for (Customer each : ordered(draft.customers())) {
+        for (Customer each : draft.customers().byName().values()) {
             String owner = owners.putIfAbsent(each.keySha256(), each.name());
             if (owner != null) {
                 place(draft.customers(), each.name())
@@ -140,7 +139,7 @@
 
     private void checkAddresses() {
         Map<String, String> owners = new HashMap<>();
-        for (PlacedWorker each : ordered(draft.workers())) {
+        for (PlacedWorker each : draft.workers().byName().values()) {
             Worker worker = each.worker();
             String owner = owners.putIfAbsent(worker.address(), worker.name());
             if (owner != null) {
@@ -150,10 +149,6 @@
         }
     }
 
-    private static <T> Collection<T> ordered(SectionRecords<T> records) {
-        return new TreeMap<>(records.byName()).values();
-    }
-
     private void unknown(Place place, String key, String what, String name, SectionRecords<?> known) {
         place.add(
                 key,
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Findings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Findings.java
@@ -1,7 +1,10 @@
 package org.dotterelcourse.configuration;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** Collects findings while a text is read, so that they are reported together. */
 final class Findings {
@@ -19,7 +22,20 @@
         return list.isEmpty();
     }
 
-    <T> Checked<T> invalid() {
+    /**
+     * Ends the reading of a text that was wrong.
+     *
+     * @param order the headers of the text's sections in their order
+     * @param <T> what a right text would have held
+     * @return the findings on the whole text first, then those of each section in that order
+     */
+    <T> Checked<T> invalid(List<String> order) {
+        Map<String, Integer> places = new HashMap<>();
+        places.put("", -1);
+        for (int i = 0; i < order.size(); i++) {
+            places.putIfAbsent(order.get(i), i);
+        }
+        list.sort(Comparator.comparingInt(each -> places.getOrDefault(each.section(), order.size())));
         return new Checked.Invalid<>(List.copyOf(list));
     }
 }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IndexedList.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IndexedList.java
@@ -16,10 +16,12 @@
 final class IndexedList<T> extends AbstractList<T> implements RandomAccess {
     private final List<T> elements;
     private final List<Map<String, T>> indexes;
+    private final SectionSums<T> sums;
 
-    private IndexedList(List<T> elements, List<Map<String, T>> indexes) {
+    private IndexedList(List<T> elements, List<Map<String, T>> indexes, SectionSums<T> sums) {
         this.elements = elements;
         this.indexes = indexes;
+        this.sums = sums;
     }
 
     /**
@@ -36,7 +38,28 @@
         }
         List<T> elements = List.copyOf(source);
         return new IndexedList<>(
-                elements, keys.stream().map(key -> index(elements, key)).toList());
+                elements, keys.stream().map(key -> index(elements, key)).toList(), null);
+    }
+
+    /**
+     * Keeps the sums of the elements' sections with the list.
+     *
+     * @param known the sums
+     * @return a list of the same elements
+     */
+    IndexedList<T> withSums(SectionSums<T> known) {
+        return new IndexedList<>(elements, indexes, known);
+    }
+
+    /**
+     * The sums that were kept with a list.
+     *
+     * @param list the list
+     * @param <T> the elements' type
+     * @return the sums, or null if there are none
+     */
+    static <T> SectionSums<T> sums(List<T> list) {
+        return list instanceof IndexedList<T> indexed ? indexed.sums : null;
     }
 
     /**
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniConfigurationReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniConfigurationReader.java
@@ -11,10 +11,10 @@
     public Checked<Configuration> read(long number, String name, String ini) {
         Findings findings = new Findings();
         Draft draft = new Draft();
-        for (IniSection section : IniText.read(name, ini, findings)) {
-            add(section, draft, findings);
-        }
-        return finish(number, name, draft, findings);
+        List<IniSection> sections = IniText.read(name, ini, findings);
+        sections.forEach(each -> add(each, draft, findings));
+        new DraftChecks(name, draft, findings).run();
+        return findings.none() ? new Checked.Valid<>(draft.build(number)) : findings.invalid(headers(sections));
     }
 
     @Override
@@ -30,7 +30,8 @@
         }
         Draft draft = Draft.of(base);
         patch.applyTo(draft);
-        return finish(number, name, draft, findings);
+        new DraftChecks(name, draft, findings).run();
+        return findings.none() ? new Checked.Valid<>(draft.build(number)) : findings.invalid(patch.headers());
     }
 
     /**
@@ -43,7 +44,7 @@
     public Checked<PatchHeader> header(String name, String ini) {
         Findings findings = new Findings();
         PatchText patch = new PatchText(name, ini, findings);
-        return findings.none() ? new Checked.Valid<>(patch.header()) : findings.invalid();
+        return findings.none() ? new Checked.Valid<>(patch.header()) : findings.invalid(patch.headers());
     }
 
     private static void add(IniSection section, Draft draft, Findings findings) {
@@ -58,8 +59,7 @@
         findings.add(section.file(), section.header(), "", expected, NearestName.hint(start, words));
     }
 
-    private static Checked<Configuration> finish(long number, String name, Draft draft, Findings findings) {
-        new DraftChecks(name, draft, findings).run();
-        return findings.none() ? new Checked.Valid<>(draft.build(number)) : findings.invalid();
+    private static List<String> headers(List<IniSection> sections) {
+        return sections.stream().map(IniSection::header).toList();
     }
 }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/PatchText.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/PatchText.java
@@ -20,6 +20,7 @@
     private final Findings findings;
     private final PatchHeader header;
     private final List<IniSection> changes = new ArrayList<>();
+    private final List<String> headers = new ArrayList<>();
 
     /**
      * Reads a patch.
@@ -33,6 +34,7 @@
         this.findings = findings;
         IniSection head = new IniSection(file, HEADER, Map.of());
         for (IniSection section : IniText.read(file, text, findings)) {
+            headers.add(section.header());
             if (section.header().equals(HEADER)) {
                 head = section;
             } else {
@@ -54,6 +56,10 @@
         return header;
     }
 
+    List<String> headers() {
+        return headers;
+    }
+
     /**
      * Applies the changes.
      *
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/SectionRecords.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/SectionRecords.java
@@ -1,8 +1,10 @@
 package org.dotterelcourse.configuration;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -13,16 +15,35 @@
  */
 final class SectionRecords<T> {
     private final SectionKind<T> kind;
-    private final Map<String, T> byName = new HashMap<>();
+    private final Map<String, T> byName = new LinkedHashMap<>();
     private final Map<String, IniSection> origins = new HashMap<>();
+    private List<T> base;
     private final Set<String> unsound = new HashSet<>();
 
     SectionRecords(SectionKind<T> kind) {
         this.kind = kind;
     }
 
-    void put(T value) {
-        byName.put(kind.name(value), value);
+    /**
+     * Starts from the records that are in force.
+     *
+     * @param records the records, sorted by name
+     */
+    void startFrom(List<T> records) {
+        records.forEach(each -> byName.put(kind.name(each), each));
+        base = records;
+    }
+
+    /**
+     * All records, to be asked for only when there were no findings.
+     *
+     * @return the records sorted by name; if none was changed the list that it started from, with its indexes
+     */
+    List<T> sorted() {
+        if (base != null && origins.isEmpty()) {
+            return base;
+        }
+        return byName.values().stream().sorted(Comparator.comparing(kind::name)).toList();
     }
 
     /**
@@ -66,6 +87,7 @@
      */
     void remove(IniSection removal, Findings findings) {
         String name = removal.name();
+        origins.put(name, removal);
         if (byName.remove(name) == null) {
             String found = NearestName.hint(name, byName.keySet());
             findings.add(removal.file(), removal.header(), "", "the name of a " + kind.word(), found);
--- /dev/null
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/ConfigurationMeasurement.java
@@ -0,0 +1,110 @@
+package org.dotterelcourse.configuration;
+
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.function.Supplier;
+
+import com.sun.management.ThreadMXBean;
+
+/**
+ * Prints what it costs to read a whole document and to fold a patch of one key, by the number of customers. Run by
+ * hand; docs/measurements/CONFIGURATION.md holds a table and the command.
+ */
+public final class ConfigurationMeasurement {
+    private static final int[] CUSTOMERS = {100, 1_000, 5_000, 18_000};
+    private static final int WARM_UP_ROUNDS = 20;
+    private static final int ROUNDS = 31;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final double BYTES_PER_MEGABYTE = 1 << 20;
+    private static final String PATCH = """
+            [patch]
+            base = 1
+            author = measurement
+            reason = one key
+
+            [set customer customer-00042]
+            requests-per-second = %d
+            """;
+
+    private ConfigurationMeasurement() {}
+
+    /**
+     * Prints the table.
+     *
+     * @param args not used
+     */
+    public static void main(String[] args) {
+        System.out.printf(
+                "java %s, %d processors%n",
+                Runtime.version(), Runtime.getRuntime().availableProcessors());
+        System.out.println("| customers | document MB | held MB | read ms | read allocates MB | fold ms | fold worst ms"
+                + " | fold allocates MB |");
+        System.out.println("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
+        for (int customers : CUSTOMERS) {
+            System.out.println(row(customers));
+        }
+    }
+
+    private static String row(int customers) {
+        IniConfigurationReader reader = new IniConfigurationReader();
+        String text = document(customers);
+        double size = text.getBytes(StandardCharsets.UTF_8).length / BYTES_PER_MEGABYTE;
+        Cost read = cost(() -> reader.read(1, "whole", text));
+        long before = usedHeap();
+        Configuration base = Texts.valid(reader.read(1, "whole", text));
+        double held = (usedHeap() - before) / BYTES_PER_MEGABYTE;
+        int[] rate = {1};
+        Cost fold = cost(() -> reader.fold(base, 2, "patch", PATCH.formatted(rate[0]++)));
+        return String.format(
+                Locale.ROOT,
+                "| %d | %.2f | %.1f | %.2f | %.1f | %.2f | %.2f | %.2f |",
+                customers,
+                size,
+                held,
+                read.medianMillis,
+                read.allocatedMegabytes,
+                fold.medianMillis,
+                fold.worstMillis,
+                fold.allocatedMegabytes);
+    }
+
+    private static Cost cost(Supplier<Checked<Configuration>> operation) {
+        for (int round = 0; round < WARM_UP_ROUNDS; round++) {
+            Texts.valid(operation.get());
+        }
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        double[] millis = new double[ROUNDS];
+        long allocatedBefore = threads.getCurrentThreadAllocatedBytes();
+        for (int round = 0; round < ROUNDS; round++) {
+            long start = System.nanoTime();
+            Checked<Configuration> result = operation.get();
+            millis[round] = (System.nanoTime() - start) / NANOS_PER_MILLI;
+            Texts.valid(result);
+        }
+        long allocated = threads.getCurrentThreadAllocatedBytes() - allocatedBefore;
+        Arrays.sort(millis);
+        return new Cost(millis[ROUNDS / 2], millis[ROUNDS - 1], allocated / (BYTES_PER_MEGABYTE * ROUNDS));
+    }
+
+    private static long usedHeap() {
+        System.gc();
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    private static String document(int customers) {
+        StringBuilder text = new StringBuilder(Texts.SMALL);
+        for (int i = 0; i < customers; i++) {
+            String name = "customer-%05d".formatted(i);
+            text.append("\n[customer ").append(name).append("]\nkey-sha256 = ").append(ConfigurationText.sha256(name));
+            text.append("\nclasses = chat, lookup\ndefault-class = chat\nrequests-per-second = 12.5");
+            text.append("\ntokens-per-second = 20000\n");
+        }
+        return text.toString();
+    }
+
+    private record Cost(double medianMillis, double worstMillis, double allocatedMegabytes) {}
+}
