--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellWorkers.java
@@ -0,0 +1,28 @@
+package org.dotterelcourse.daemon.cells;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.dotterelcourse.configuration.Upstream;
+import org.dotterelcourse.configuration.Worker;
+import org.dotterelcourse.coordination.ownership.Cell;
+import org.dotterelcourse.policy.cell.WorkerInfo;
+
+/**
+ * A cell with what is published of its workers.
+ *
+ * @param cell the cell
+ * @param upstream its upstream
+ * @param workers its workers by name
+ * @param infos its workers as the scheduler wants them
+ */
+record CellWorkers(Cell cell, Upstream upstream, Map<String, Worker> workers, List<WorkerInfo> infos) {
+    String key() {
+        return cell.id().key();
+    }
+
+    Optional<Worker> worker(String name) {
+        return Optional.ofNullable(workers.get(name));
+    }
+}
--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/LocalDaemonsScheduler.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/LocalDaemonsScheduler.java
@@ -85,6 +85,11 @@
         return List.of();
     }
 
+    @Override
+    public long adopt(Ask ask, String worker, long nowNanos) {
+        throw new UnsupportedOperationException("daemons that are alone take nothing over");
+    }
+
     @Override
     public List<CellEffect> workers(List<WorkerInfo> published, long nowNanos) {
         workers = List.copyOf(published);
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/CellScheduler.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/CellScheduler.java
@@ -48,6 +48,17 @@
      */
     List<CellEffect> release(long grant, Completion completion, long nowNanos);
 
+    /**
+     * A request is running already, by a grant that another scheduler gave before this one took over. It is counted at
+     * its worker even where that puts the worker above its concurrency.
+     *
+     * @param ask the request
+     * @param worker where it runs; the worker need not be known
+     * @param nowNanos the time
+     * @return the grant's number with this scheduler
+     */
+    long adopt(Ask ask, String worker, long nowNanos);
+
     /**
      * The published list of the cell's workers has changed.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/FifoScheduler.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/FifoScheduler.java
@@ -40,7 +40,7 @@
             return List.of(new CellEffect.Refused(ask.id(), RefusalReason.CELL_FULL, RETRY_AFTER_NANOS));
         }
         queue.addLast(ask);
-        return drain();
+        return drain(nowNanos);
     }
 
     @Override
@@ -61,13 +61,21 @@
             return List.of();
         }
         running.merge(worker, -1, Integer::sum);
-        return drain();
+        return drain(nowNanos);
+    }
+
+    @Override
+    public long adopt(Ask ask, String worker, long nowNanos) {
+        lastGrant++;
+        grants.put(lastGrant, worker);
+        running.merge(worker, 1, Integer::sum);
+        return lastGrant;
     }
 
     @Override
     public List<CellEffect> workers(List<WorkerInfo> published, long nowNanos) {
         workers = List.copyOf(published);
-        return drain();
+        return drain(nowNanos);
     }
 
     @Override
@@ -77,7 +85,7 @@
 
     @Override
     public List<CellEffect> advance(long nowNanos) {
-        return drain();
+        return drain(nowNanos);
     }
 
     @Override
@@ -85,23 +93,21 @@
         return queue.size();
     }
 
-    private List<CellEffect> drain() {
+    private List<CellEffect> drain(long nowNanos) {
         List<CellEffect> effects = new ArrayList<>();
         while (!queue.isEmpty()) {
             List<WorkerInfo> free = freeWorkers(queue.peekFirst());
             if (free.isEmpty()) {
                 break;
             }
-            effects.add(grant(queue.removeFirst(), free.get(random.nextInt(free.size()))));
+            effects.add(grant(queue.removeFirst(), free.get(random.nextInt(free.size())), nowNanos));
         }
         return effects;
     }
 
-    private CellEffect grant(Ask ask, WorkerInfo worker) {
-        lastGrant++;
-        grants.put(lastGrant, worker.name());
-        running.merge(worker.name(), 1, Integer::sum);
-        return new CellEffect.Granted(ask.id(), lastGrant, worker.name());
+    private CellEffect grant(Ask ask, WorkerInfo worker, long nowNanos) {
+        long grant = adopt(ask, worker.name(), nowNanos);
+        return new CellEffect.Granted(ask.id(), grant, worker.name());
     }
 
     private List<WorkerInfo> freeWorkers(Ask ask) {
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
@@ -117,6 +117,14 @@
         return serve(nowNanos);
     }
 
+    @Override
+    public long adopt(Ask ask, String worker, long nowNanos) {
+        grant(waiting(ask), worker, false, nowNanos);
+        // The class was charged by the scheduler that gave the grant; here it pays at the end for what was done.
+        charges.put(lastGrant, 0.0);
+        return lastGrant;
+    }
+
     @Override
     public List<CellEffect> workers(List<WorkerInfo> published, long nowNanos) {
         placement.workers(published, nowNanos);
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/placement/CellPlacement.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/placement/CellPlacement.java
@@ -108,7 +108,11 @@
 
     @Override
     public void granted(Running running, long nowNanos) {
-        workers.get(running.worker()).granted(running, nowNanos);
+        // A grant that was adopted from an earlier owner may be at a worker that has left the list since.
+        Worker worker = workers.get(running.worker());
+        if (worker != null) {
+            worker.granted(running, nowNanos);
+        }
     }
 
     @Override
