--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Commands.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Commands.java
@@ -222,4 +222,22 @@
             return pair.substring(pair.indexOf('=') + 1);
         }
     }
+
+    /** The load generator. */
+    @Command(name = "load", description = "Send a load to daemons on loopback and judge every answer")
+    public static final class Load implements Callable<Integer> {
+        @Option(name = "--json", description = "print the result as JSON")
+        private boolean json;
+
+        @Arguments(description = "the JSON file that describes the load")
+        @Required
+        private String file;
+
+        @Override
+        public Integer call() throws Exception {
+            LoadResult result = new LoadGenerator(LoadSpec.parse(Files.readString(Path.of(file)))).run();
+            System.out.println(json ? result.json() : result.table());
+            return result.clean() ? 0 : 1;
+        }
+    }
 }
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Main.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Main.java
@@ -21,6 +21,7 @@
             Commands.Configuration.class,
             Commands.Vms.class,
             Commands.Weights.class,
+            Commands.Load.class,
             Commands.Proxy.class,
             Commands.WholePlatform.class
         })
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/ServiceStandIn.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/ServiceStandIn.java
@@ -85,6 +85,9 @@
         if (path.equals("/_fault")) {
             return Replies.withBody(request, body -> faults.set(body, response));
         }
+        if (path.startsWith("/_")) {
+            return Replies.problem(response, 404, "no such call");
+        }
         return Replies.withBody(request, body -> call(path, request, body, response));
     }
 
