Join daemons: membership, relayed configuration, cells with owners, grants, retries

Cause: each daemon scheduled by itself and read the configuration by itself. Now one owner, by rendezvous hashing over the members, holds the queue of each cell; a daemon asks it for a worker and sends the request there itself. The configuration comes over the peers' relay. The first-in-first-out scheduler and the fixed number of retries give way to the policy module's.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
@@ -2,15 +2,14 @@
 
 import java.time.Clock;
 import java.util.List;
-import java.util.random.RandomGenerator;
 
 import org.dotterelcourse.configuration.DaemonSettings;
 import org.dotterelcourse.configuration.IniConfigurationReader;
 import org.dotterelcourse.daemon.audit.AuditTrail;
-import org.dotterelcourse.daemon.dispatch.AskIds;
-import org.dotterelcourse.daemon.dispatch.BoundedRetries;
+import org.dotterelcourse.daemon.cells.LoadPoller;
+import org.dotterelcourse.daemon.cells.OwnedGrants;
+import org.dotterelcourse.daemon.cells.OwnerRule;
 import org.dotterelcourse.daemon.dispatch.Dispatchers;
-import org.dotterelcourse.daemon.dispatch.LocalGrants;
 import org.dotterelcourse.daemon.edge.AddressBook;
 import org.dotterelcourse.daemon.edge.CallersEdge;
 import org.dotterelcourse.daemon.kernel.ControlLoop;
@@ -20,20 +19,20 @@
 import org.dotterelcourse.daemon.operators.Drain;
 import org.dotterelcourse.daemon.operators.OperatorsEdge;
 import org.dotterelcourse.daemon.peers.Peers;
+import org.dotterelcourse.daemon.platform.ConfigurationRelayService;
 import org.dotterelcourse.daemon.platform.ConfigurationStore;
-import org.dotterelcourse.daemon.platform.ConfigurationWatcher;
 import org.dotterelcourse.daemon.platform.HttpConfigSource;
 import org.dotterelcourse.daemon.platform.HttpVmList;
 import org.dotterelcourse.daemon.platform.VmWatcher;
 import org.dotterelcourse.daemon.upstream.HttpEngine;
+import org.dotterelcourse.daemon.upstream.HttpLoadReports;
 import org.dotterelcourse.daemon.upstream.HttpPlainService;
 import org.dotterelcourse.daemon.upstream.UpstreamTimeouts;
-import org.dotterelcourse.policy.cell.FifoScheduler;
+import org.dotterelcourse.policy.cell.TieredScheduler;
 
 /** One daemon: its services, put together from its settings. */
 public final class Daemon {
     private static final int MAX_ANSWER_BYTES = 8 << 20;
-    private static final int MAX_WAITING = 10_000;
 
     private final Kernel kernel = new Kernel();
 
@@ -48,17 +47,16 @@
         kernel.register(new ControlLoop())
                 .register(new AuditTrail(Clock.systemUTC(), settings.auditFile()))
                 .register(new ConfigurationStore())
-                .register(new ConfigurationWatcher(
-                        HttpConfigSource.withBudget(settings.configurationService(), settings.readsPerSecond()),
-                        new IniConfigurationReader()))
+                .register(new ConfigurationRelayService(
+                        new HttpConfigSource(settings.configurationService()),
+                        new IniConfigurationReader(),
+                        settings.readsPerSecond()))
                 .register(new VmWatcher(new HttpVmList(settings.vmList())))
-                .register(new Peers(settings))
-                .register(new LocalGrants(cell -> new FifoScheduler(MAX_WAITING, RandomGenerator.getDefault())))
+                .register(new Peers(settings, incarnation))
+                .register(new OwnedGrants(cell -> TieredScheduler.builder().build(), OwnerRule.SHARED))
+                .register(new LoadPoller(new HttpLoadReports()))
                 .register(new Dispatchers(
-                        new HttpEngine(timeouts),
-                        new HttpPlainService(timeouts.connect(), MAX_ANSWER_BYTES),
-                        new BoundedRetries(),
-                        new AskIds(settings.name(), incarnation)))
+                        new HttpEngine(timeouts), new HttpPlainService(timeouts.connect(), MAX_ANSWER_BYTES)))
                 .register(new RequestMetrics())
                 .register(new AddressBook(settings))
                 .register(new CallersEdge(settings))
@@ -98,6 +96,15 @@
         return kernel.find(CallersEdge.NAME).port();
     }
 
+    /**
+     * The TCP and UDP port for other daemons.
+     *
+     * @return the port it listens on
+     */
+    public int peersPort() {
+        return kernel.find(Peers.NAME).port();
+    }
+
     /**
      * The TCP port for operators.
      *
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/RunCommand.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/RunCommand.java
@@ -83,6 +83,7 @@
                 .put("daemon", settings.name())
                 .put("callers", settings.address() + ":" + daemon.callersPort())
                 .put("operators", settings.address() + ":" + daemon.operatorsPort())
+                .put("peers", settings.address() + ":" + daemon.peersPort())
                 .toString();
     }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellMap.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellMap.java
@@ -27,8 +27,7 @@
     static Map<String, CellWorkers> of(Configuration configuration, Set<String> leaving) {
         Map<String, CellWorkers> cells = new TreeMap<>();
         for (Upstream upstream : configuration.upstreams()) {
-            List<String> names =
-                    upstream.workers().stream().map(Worker::name).toList();
+            List<String> names = upstream.workers().stream().map(Worker::name).toList();
             for (Cell cell : Cells.cut(upstream.name(), upstream.region(), names)) {
                 cells.put(cell.id().key(), workers(cell, upstream, leaving));
             }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellWorkers.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellWorkers.java
@@ -22,6 +22,11 @@
         return cell.id().key();
     }
 
+    /** The same cell after its upstream has left the configuration: nothing new goes to its workers. */
+    CellWorkers emptied() {
+        return new CellWorkers(cell, upstream, workers, List.of());
+    }
+
     Optional<Worker> worker(String name) {
         return Optional.ofNullable(workers.get(name));
     }
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/Asks.java
@@ -0,0 +1,51 @@
+package org.dotterelcourse.daemon.dispatch;
+
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.dotterelcourse.configuration.RequestClass;
+import org.dotterelcourse.policy.cell.Ask;
+import org.dotterelcourse.policy.cell.ClassTerms;
+
+/** Makes the scheduler's view of requests. */
+final class Asks {
+    private Asks() {}
+
+    static Ask of(ChatCall call) {
+        return new Ask(
+                call.id(),
+                terms(call.requestClass()),
+                call.customer(),
+                call.arrivalNanos(),
+                call.inputTokens(),
+                call.prefix(),
+                call.requestClass().idempotent(),
+                0,
+                Set.of());
+    }
+
+    static Ask of(ServiceRequest request) {
+        return new Ask(
+                request.id(),
+                terms(request.requestClass()),
+                request.customer(),
+                request.arrivalNanos(),
+                0,
+                0,
+                request.requestClass().idempotent(),
+                0,
+                Set.of());
+    }
+
+    private static ClassTerms terms(RequestClass requestClass) {
+        return new ClassTerms(
+                requestClass.name(),
+                requestClass.tier(),
+                requestClass.minimumShare(),
+                requestClass.maxWaiting(),
+                requestClass.lateIsUseless(),
+                TimeUnit.MILLISECONDS.toNanos(requestClass.targetMillis()),
+                TimeUnit.MILLISECONDS.toNanos(requestClass.tokenIntervalMillis()),
+                requestClass.maxOutputTokens());
+    }
+}
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
@@ -1,14 +1,12 @@
 package org.dotterelcourse.daemon.dispatch;
 
-import java.util.Set;
-
-import org.dotterelcourse.configuration.RequestClass;
 import org.dotterelcourse.daemon.upstream.Engine;
 import org.dotterelcourse.daemon.upstream.EngineCall;
 import org.dotterelcourse.daemon.upstream.EngineEvent;
 import org.dotterelcourse.daemon.upstream.UpstreamFailure;
-import org.dotterelcourse.policy.cell.Ask;
 import org.dotterelcourse.policy.cell.ClassTerms;
+import org.dotterelcourse.policy.retry.Attempt;
+import org.dotterelcourse.policy.retry.RetryDecision;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -19,8 +17,7 @@
 public final class ChatDispatcher {
     private final GrantSource grants;
     private final Engine engine;
-    private final RetryPolicy retries;
-    private final AskIds ids;
+    private final Retries retries;
 
     /**
      * Makes a dispatcher.
@@ -28,13 +25,11 @@
      * @param grants where the leave to use a worker comes from
      * @param engine sends to workers
      * @param retries decides what follows a failure
-     * @param ids makes the id of each ask
      */
-    public ChatDispatcher(GrantSource grants, Engine engine, RetryPolicy retries, AskIds ids) {
+    public ChatDispatcher(GrantSource grants, Engine engine, Retries retries) {
         this.grants = grants;
         this.engine = engine;
         this.retries = retries;
-        this.ids = ids;
     }
 
     /**
@@ -48,30 +43,31 @@
     }
 
     private Flux<AnswerEvent> attempt(ChatProgress progress) {
-        return grants.ask(progress.call().requestClass().upstream(), ask(progress))
-                .flatMapMany(result -> {
-                    if (result instanceof GrantResult.Granted granted) {
-                        return use(progress, granted.grant());
-                    }
-                    return Flux.just(new AnswerEvent.Failed(
-                            Refusals.failure((GrantResult.Refused) result, progress.mayHaveRun())));
-                });
+        String upstream = progress.call().requestClass().upstream();
+        return grants.ask(upstream, progress.ask()).flatMapMany(result -> {
+            if (result instanceof GrantResult.Granted granted) {
+                return use(progress, granted.grant());
+            }
+            GrantResult.Refused refused = (GrantResult.Refused) result;
+            return Flux.just(new AnswerEvent.Failed(Refusals.failure(refused, progress.mayHaveRun())));
+        });
     }
 
     private Flux<AnswerEvent> use(ChatProgress progress, Grant grant) {
-        // A process that was paused between grant and use holds a grant that was given to somebody else meanwhile.
-        if (!grants.mayUse(grant)) {
-            grants.release(grant, GrantUse.unused());
-            return attempt(progress);
-        }
-        GrantUse use = new GrantUse();
-        Flux<EngineEvent> events = engine.stream(engineCall(progress, grant))
+        return Flux.using(
+                GrantUse::new,
+                use -> grants.mayUse(grant)
+                        .flatMapMany(usable -> usable ? send(progress, grant, use) : attempt(progress)),
+                use -> use.release(grants, grant));
+    }
+
+    private Flux<AnswerEvent> send(ChatProgress progress, Grant grant, GrantUse use) {
+        return engine.stream(engineCall(progress, grant))
                 .takeUntilOther(grant.preempted())
                 .concatWith(Mono.fromSupplier(GrantUse::preempted))
                 .takeUntil(GrantUse::isLast)
                 .doOnNext(event -> seen(progress, grant, use, event))
-                .doFinally(signal -> use.release(grants, grant));
-        return events.concatMap(event -> next(progress, grant, event), 1);
+                .concatMap(event -> next(progress, grant, event), 1);
     }
 
     private void seen(ChatProgress progress, Grant grant, GrantUse use, EngineEvent event) {
@@ -90,7 +86,7 @@
             return Flux.just(new AnswerEvent.Piece(piece.text()));
         }
         if (event instanceof EngineEvent.Finished finished) {
-            retries.succeeded(grant.cell());
+            retries.succeeded(progress.call().requestClass().upstream());
             return Flux.just(
                     new AnswerEvent.Finished(finished.reason(), finished.promptTokens(), finished.completionTokens()));
         }
@@ -98,44 +94,21 @@
     }
 
     private Flux<AnswerEvent> failed(ChatProgress progress, Grant grant, UpstreamFailure failure) {
-        if (GrantUse.isPreemption(failure)) {
+        progress.failed(failure);
+        Attempt attempt = Retries.attempt(grant.worker().name(), failure, progress.tokens());
+        RetryDecision decision =
+                retries.decide(progress.call().requestClass().upstream(), progress.ask(), attempt, true);
+        if (decision instanceof RetryDecision.Elsewhere elsewhere) {
+            progress.next(elsewhere.ask());
             return attempt(progress);
         }
-        progress.failedAt(grant.worker().name(), failure);
-        RetryPolicy.Decision decision = retries.decide(
-                grant.cell(), failure, progress.call().requestClass().idempotent(), progress.attempts());
-        if (decision instanceof RetryPolicy.Again) {
+        if (decision instanceof RetryDecision.Resume resume) {
+            progress.next(resume.ask());
             return attempt(progress);
         }
         return Flux.just(new AnswerEvent.Failed(Refusals.failure(failure, progress.mayHaveRun())));
     }
 
-    private Ask ask(ChatProgress progress) {
-        ChatCall call = progress.call();
-        return new Ask(
-                ids.next(),
-                terms(call.requestClass()),
-                call.customer(),
-                call.arrivalNanos(),
-                call.inputTokens(),
-                call.prefix(),
-                call.requestClass().idempotent(),
-                progress.tokens(),
-                Set.copyOf(progress.excludedWorkers()));
-    }
-
-    static ClassTerms terms(RequestClass requestClass) {
-        return new ClassTerms(
-                requestClass.name(),
-                requestClass.tier(),
-                requestClass.minimumShare(),
-                requestClass.maxWaiting(),
-                requestClass.lateIsUseless(),
-                requestClass.targetMillis() * GrantUse.NANOS_PER_MILLI,
-                requestClass.tokenIntervalMillis() * GrantUse.NANOS_PER_MILLI,
-                requestClass.maxOutputTokens());
-    }
-
     private static EngineCall engineCall(ChatProgress progress, Grant grant) {
         ChatCall call = progress.call();
         return new EngineCall(
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatProgress.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatProgress.java
@@ -1,30 +1,32 @@
 package org.dotterelcourse.daemon.dispatch;
 
-import java.util.HashSet;
-import java.util.Set;
-
 import org.dotterelcourse.daemon.upstream.UpstreamFailure;
+import org.dotterelcourse.policy.cell.Ask;
 
 /**
- * How far a chat completion has come over all its attempts: the tokens that its caller has, and the workers that failed
- * it. Used by one attempt at a time.
+ * How far a chat completion has come over all its attempts: the tokens that its caller has, and what is to be asked for
+ * next. Used by one attempt at a time.
  */
 final class ChatProgress {
     private final ChatCall call;
     private final StringBuilder text = new StringBuilder();
-    private final Set<String> excludedWorkers = new HashSet<>();
+    private Ask ask;
     private int tokens;
-    private int attempts;
     private boolean mayHaveRun;
 
     ChatProgress(ChatCall call) {
         this.call = call;
+        this.ask = Asks.of(call);
     }
 
     ChatCall call() {
         return call;
     }
 
+    Ask ask() {
+        return ask;
+    }
+
     String text() {
         return text.toString();
     }
@@ -33,14 +35,6 @@
         return tokens;
     }
 
-    int attempts() {
-        return attempts;
-    }
-
-    Set<String> excludedWorkers() {
-        return excludedWorkers;
-    }
-
     boolean mayHaveRun() {
         return mayHaveRun;
     }
@@ -51,9 +45,11 @@
         mayHaveRun = true;
     }
 
-    void failedAt(String worker, UpstreamFailure failure) {
-        attempts++;
-        excludedWorkers.add(worker);
+    void failed(UpstreamFailure failure) {
         mayHaveRun |= !failure.notRun();
     }
+
+    void next(Ask next) {
+        ask = next;
+    }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/Dispatchers.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/Dispatchers.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.dotterelcourse.daemon.cells.OwnedGrants;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
 import org.dotterelcourse.daemon.kernel.ServiceName;
@@ -16,8 +17,7 @@
 
     private final Engine engine;
     private final PlainService service;
-    private final RetryPolicy retries;
-    private final AskIds ids;
+    private final Retries retries = new Retries();
     private ChatDispatcher chatDispatcher;
     private ServiceDispatcher serviceDispatcher;
 
@@ -26,14 +26,10 @@
      *
      * @param engine sends to engines
      * @param service calls plain services
-     * @param retries decides what follows a failure
-     * @param ids makes the id of each ask
      */
-    public Dispatchers(Engine engine, PlainService service, RetryPolicy retries, AskIds ids) {
+    public Dispatchers(Engine engine, PlainService service) {
         this.engine = engine;
         this.service = service;
-        this.retries = retries;
-        this.ids = ids;
     }
 
     @Override
@@ -43,14 +39,14 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(LocalGrants.NAME);
+        return List.of(OwnedGrants.NAME);
     }
 
     @Override
     public List<StartFinding> start(Kernel kernel) {
-        GrantSource grants = kernel.find(LocalGrants.NAME);
-        chatDispatcher = new ChatDispatcher(grants, engine, retries, ids);
-        serviceDispatcher = new ServiceDispatcher(grants, service, retries, ids);
+        GrantSource grants = kernel.find(OwnedGrants.NAME);
+        chatDispatcher = new ChatDispatcher(grants, engine, retries);
+        serviceDispatcher = new ServiceDispatcher(grants, service, retries);
         return List.of();
     }
 
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/GrantSource.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/GrantSource.java
@@ -32,10 +32,11 @@
     void release(Grant grant, Completion completion);
 
     /**
-     * Whether a grant may still be used, to be asked right before the first byte is written.
+     * Whether a grant may be used now, to be asked right before the first byte is written. A grant that may not goes
+     * back by itself.
      *
      * @param grant the grant
      * @return false if its lease has run out, as after a pause of the process
      */
-    boolean mayUse(Grant grant);
+    Mono<Boolean> mayUse(Grant grant);
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/GrantUse.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/GrantUse.java
@@ -9,10 +9,8 @@
 
 /** Watches one use of a grant and says in the end what was seen, for the scheduler to learn from. */
 final class GrantUse {
-    static final long NANOS_PER_MILLI = 1_000_000L;
-
     private static final UpstreamFailure PREEMPTION =
-            new UpstreamFailure(UpstreamFailure.Kind.BROKEN, "stopped for a higher tier");
+            new UpstreamFailure(UpstreamFailure.Kind.PREEMPTED, "stopped for a higher tier");
 
     private final long startNanos = System.nanoTime();
     private long firstTokenNanos = -1;
@@ -50,32 +48,22 @@
         }
     }
 
-    static Completion unused() {
-        return new Completion(Completion.End.CANCELLED, -1, 0, 0);
-    }
-
     /** Stands after the events of a stream that was cut by the scheduler, so that it too has a last event. */
     static EngineEvent preempted() {
         return new EngineEvent.Failed(PREEMPTION);
     }
 
-    static boolean isPreemption(UpstreamFailure failure) {
-        return failure == PREEMPTION;
-    }
-
     static boolean isLast(EngineEvent event) {
         return !(event instanceof EngineEvent.Piece);
     }
 
     private static Completion.End endOf(UpstreamFailure failure) {
-        if (isPreemption(failure)) {
-            return Completion.End.CANCELLED;
-        }
         return switch (failure.kind()) {
             case UNREACHABLE -> Completion.End.UNREACHABLE;
             case REFUSED -> Completion.End.REFUSED;
             case LEAVING -> Completion.End.LEAVING;
             case BROKEN, SILENT -> Completion.End.FAILED;
+            case PREEMPTED -> Completion.End.CANCELLED;
         };
     }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ServiceDispatcher.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ServiceDispatcher.java
@@ -1,15 +1,14 @@
 package org.dotterelcourse.daemon.dispatch;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
 
-import org.dotterelcourse.configuration.RequestClass;
 import org.dotterelcourse.daemon.upstream.PlainService;
 import org.dotterelcourse.daemon.upstream.ServiceCall;
 import org.dotterelcourse.daemon.upstream.ServiceReply;
 import org.dotterelcourse.daemon.upstream.UpstreamFailure;
 import org.dotterelcourse.policy.cell.Ask;
+import org.dotterelcourse.policy.retry.Attempt;
+import org.dotterelcourse.policy.retry.RetryDecision;
 import reactor.core.publisher.Mono;
 
 /**
@@ -24,8 +23,7 @@
 
     private final GrantSource grants;
     private final PlainService service;
-    private final RetryPolicy retries;
-    private final AskIds ids;
+    private final Retries retries;
 
     /**
      * Makes a dispatcher.
@@ -33,13 +31,11 @@
      * @param grants where the leave to use a worker comes from
      * @param service calls workers
      * @param retries decides what follows a failure
-     * @param ids makes the id of each ask
      */
-    public ServiceDispatcher(GrantSource grants, PlainService service, RetryPolicy retries, AskIds ids) {
+    public ServiceDispatcher(GrantSource grants, PlainService service, Retries retries) {
         this.grants = grants;
         this.service = service;
         this.retries = retries;
-        this.ids = ids;
     }
 
     /**
@@ -49,93 +45,64 @@
      * @return one value, never an error
      */
     public Mono<ServiceAnswer> dispatch(ServiceRequest request) {
-        return Mono.defer(() -> attempt(new Attempts(request)));
+        return Mono.defer(() -> attempt(request, Asks.of(request), false));
     }
 
-    private Mono<ServiceAnswer> attempt(Attempts attempts) {
-        return grants.ask(attempts.request.requestClass().upstream(), attempts.ask(ids.next()))
-                .flatMap(result -> {
-                    if (result instanceof GrantResult.Granted granted) {
-                        return use(attempts, granted.grant());
-                    }
-                    return Mono.just(new ServiceAnswer.Failed(
-                            Refusals.failure((GrantResult.Refused) result, attempts.mayHaveRun)));
-                });
+    private Mono<ServiceAnswer> attempt(ServiceRequest request, Ask ask, boolean mayHaveRun) {
+        return grants.ask(request.requestClass().upstream(), ask).flatMap(result -> {
+            if (result instanceof GrantResult.Granted granted) {
+                return use(request, ask, granted.grant(), mayHaveRun);
+            }
+            return Mono.just(new ServiceAnswer.Failed(Refusals.failure((GrantResult.Refused) result, mayHaveRun)));
+        });
     }
 
-    private Mono<ServiceAnswer> use(Attempts attempts, Grant grant) {
-        // See ChatDispatcher: a paused process must not use a grant that has run out.
-        if (!grants.mayUse(grant)) {
-            grants.release(grant, GrantUse.unused());
-            return attempt(attempts);
-        }
-        GrantUse use = new GrantUse();
-        return service.call(attempts.call(grant))
+    private Mono<ServiceAnswer> use(ServiceRequest request, Ask ask, Grant grant, boolean mayHaveRun) {
+        return Mono.using(
+                GrantUse::new,
+                use -> grants.mayUse(grant)
+                        .flatMap(usable -> usable
+                                ? send(request, ask, grant, use, mayHaveRun)
+                                : attempt(request, ask, mayHaveRun)),
+                use -> use.release(grants, grant));
+    }
+
+    private Mono<ServiceAnswer> send(ServiceRequest request, Ask ask, Grant grant, GrantUse use, boolean mayHaveRun) {
+        return service.call(call(request, grant))
                 .doOnNext(reply -> {
                     use.add(reply);
+                    // Before the next attempt asks: see ChatDispatcher.
                     use.release(grants, grant);
                 })
-                .doFinally(signal -> use.release(grants, grant))
-                .flatMap(reply -> next(attempts, grant, reply));
+                .flatMap(reply -> next(request, ask, grant, reply, mayHaveRun));
     }
 
-    private Mono<ServiceAnswer> next(Attempts attempts, Grant grant, ServiceReply reply) {
+    private Mono<ServiceAnswer> next(
+            ServiceRequest request, Ask ask, Grant grant, ServiceReply reply, boolean mayHaveRun) {
+        String upstream = request.requestClass().upstream();
         if (reply instanceof ServiceReply.Answered answered) {
-            retries.succeeded(grant.cell());
+            retries.succeeded(upstream);
             return Mono.just(new ServiceAnswer.Answered(answered.status(), answered.contentType(), answered.body()));
         }
         UpstreamFailure failure = ((ServiceReply.Failed) reply).failure();
-        attempts.failedAt(grant.worker().name(), failure);
-        boolean idempotent = attempts.request.requestClass().idempotent();
-        RetryPolicy.Decision decision = retries.decide(grant.cell(), failure, idempotent, attempts.failed);
-        if (decision instanceof RetryPolicy.Again) {
-            return attempt(attempts);
+        boolean mayHaveRunNow = mayHaveRun || !failure.notRun();
+        Attempt attempt = Retries.attempt(grant.worker().name(), failure, 0);
+        if (retries.decide(upstream, ask, attempt, false) instanceof RetryDecision.Elsewhere elsewhere) {
+            return attempt(request, elsewhere.ask(), mayHaveRunNow);
         }
-        return Mono.just(new ServiceAnswer.Failed(Refusals.failure(failure, attempts.mayHaveRun)));
+        return Mono.just(new ServiceAnswer.Failed(Refusals.failure(failure, mayHaveRunNow)));
     }
 
-    /** One call over all its attempts; used by one attempt at a time. */
-    private static final class Attempts {
-        private final ServiceRequest request;
-        private final Set<String> excludedWorkers = new HashSet<>();
-        private int failed;
-        private boolean mayHaveRun;
-
-        private Attempts(ServiceRequest request) {
-            this.request = request;
-        }
-
-        private void failedAt(String worker, UpstreamFailure failure) {
-            failed++;
-            excludedWorkers.add(worker);
-            mayHaveRun |= !failure.notRun();
-        }
-
-        private Ask ask(String id) {
-            RequestClass requestClass = request.requestClass();
-            return new Ask(
-                    id,
-                    ChatDispatcher.terms(requestClass),
-                    request.customer(),
-                    request.arrivalNanos(),
-                    0,
-                    0,
-                    requestClass.idempotent(),
-                    0,
-                    Set.copyOf(excludedWorkers));
-        }
-
-        private ServiceCall call(Grant grant) {
-            long target = request.requestClass().targetMillis();
-            return new ServiceCall(
-                    grant.worker().address(),
-                    request.id(),
-                    request.method(),
-                    request.path(),
-                    request.contentType(),
-                    request.body(),
-                    request.requestClass().idempotent(),
-                    Duration.ofMillis(Math.max(SHORTEST_TIMEOUT_MILLIS, target * TIMEOUT_TARGETS)));
-        }
+    private static ServiceCall call(ServiceRequest request, Grant grant) {
+        long target = request.requestClass().targetMillis();
+        return new ServiceCall(
+                grant.worker().address(),
+                request.id(),
+                request.method(),
+                request.path(),
+                request.contentType(),
+                request.body(),
+                request.requestClass().idempotent(),
+                Duration.ofMillis(Math.max(SHORTEST_TIMEOUT_MILLIS, target * TIMEOUT_TARGETS)));
     }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/OperatorsEdge.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/OperatorsEdge.java
@@ -11,12 +11,14 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import org.dotterelcourse.configuration.DaemonSettings;
 import org.dotterelcourse.daemon.audit.AuditTrail;
+import org.dotterelcourse.daemon.cells.OwnedGrants;
 import org.dotterelcourse.daemon.edge.CallersEdge;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
 import org.dotterelcourse.daemon.kernel.ServiceName;
 import org.dotterelcourse.daemon.kernel.StartFinding;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
+import org.dotterelcourse.daemon.peers.Peers;
 import org.dotterelcourse.daemon.platform.ConfigurationStore;
 import reactor.core.publisher.Mono;
 import reactor.netty.ChannelBindException;
@@ -44,6 +46,8 @@
     private RequestMetrics metrics;
     private CallersEdge callers;
     private Drain drain;
+    private Peers peers;
+    private OwnedGrants grants;
     private DisposableServer server;
 
     /**
@@ -62,7 +66,7 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(AuditTrail.NAME, ConfigurationStore.NAME, RequestMetrics.NAME, CallersEdge.NAME, Drain.NAME);
+        return List.of(AuditTrail.NAME, ConfigurationStore.NAME, RequestMetrics.NAME, CallersEdge.NAME, Drain.NAME, Peers.NAME, OwnedGrants.NAME);
     }
 
     @Override
@@ -72,6 +76,8 @@
         metrics = kernel.find(RequestMetrics.NAME);
         callers = kernel.find(CallersEdge.NAME);
         drain = kernel.find(Drain.NAME);
+        peers = kernel.find(Peers.NAME);
+        grants = kernel.find(OwnedGrants.NAME);
         try {
             server = HttpServer.create()
                     .host(settings.address())
@@ -102,6 +108,8 @@
         routes.get("/health", (request, response) -> text(response, OK, "ok\n"))
                 .get("/ready", (request, response) -> ready(response))
                 .get("/configuration", (request, response) -> configuration(response))
+                .get("/members", (request, response) -> send(response, OK, members()))
+                .get("/owners", (request, response) -> send(response, OK, grants.status()))
                 .get("/audit", this::audit)
                 .get("/classes", (request, response) -> send(response, OK, ClassReport.of(metrics.registry())))
                 .get("/metrics.json", (request, response) -> send(response, OK, MetricsJson.of(metrics.registry())))
@@ -133,6 +141,10 @@
         return send(response, OK, answer);
     }
 
+    private List<MemberReport> members() {
+        return MemberReport.of(peers.view(), System.nanoTime());
+    }
+
     private Mono<Void> audit(HttpServerRequest request, HttpServerResponse response) {
         List<String> after = new QueryStringDecoder(request.uri()).parameters().getOrDefault("after", List.of("0"));
         try {
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
@@ -1,29 +1,75 @@
 package org.dotterelcourse.daemon.peers;
 
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 import org.dotterelcourse.configuration.DaemonSettings;
+import org.dotterelcourse.coordination.MemberId;
+import org.dotterelcourse.coordination.membership.ListedVm;
+import org.dotterelcourse.coordination.membership.Member;
+import org.dotterelcourse.coordination.membership.MemberState;
+import org.dotterelcourse.coordination.membership.Membership;
+import org.dotterelcourse.coordination.membership.MembershipDriver;
+import org.dotterelcourse.coordination.membership.MembershipEffect;
+import org.dotterelcourse.coordination.membership.MembershipEvent;
+import org.dotterelcourse.coordination.membership.MembershipSettings;
+import org.dotterelcourse.coordination.membership.Payload;
+import org.dotterelcourse.coordination.ownership.Ownership;
+import org.dotterelcourse.coordination.transport.PeerTransport;
+import org.dotterelcourse.daemon.audit.AuditEvent;
+import org.dotterelcourse.daemon.audit.AuditTrail;
+import org.dotterelcourse.daemon.kernel.ControlLoop;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
 import org.dotterelcourse.daemon.kernel.ServiceName;
 import org.dotterelcourse.daemon.kernel.StartFinding;
+import org.dotterelcourse.daemon.platform.Vm;
+import org.dotterelcourse.daemon.platform.VmWatcher;
+import org.jboss.logging.Logger;
 
-/** What this daemon knows of the others. */
+/** The other daemons: who they are, how to reach them, and what they are told of this one. */
 public final class Peers implements Service {
     /** The name that it is found by. */
     public static final ServiceName<Peers> NAME = new ServiceName<>("peers", Peers.class);
 
+    /** How long a suspect keeps what it owns: most suspicions are refuted within it. */
+    public static final long SUSPECT_GRACE_NANOS = 1_500_000_000L;
+
+    /** Enough for a caller to survive the loss of one of them, and of one data centre. */
+    private static final int ADDRESSES = 3;
+
+    private static final Logger LOG = Logger.getLogger(Peers.class);
+
     private final DaemonSettings settings;
-    private volatile int callersPort;
-    private volatile boolean leaving;
+    private final long incarnation;
+    private final List<Consumer<List<Member>>> viewListeners = new CopyOnWriteArrayList<>();
+    private final List<MembershipListener> membershipListeners = new CopyOnWriteArrayList<>();
+    private final Map<String, MemberState> states = new HashMap<>();
+    private volatile List<Member> view = List.of();
+    private Payload payload;
+    private AuditTrail audit;
+    private ControlLoop loop;
+    private PeerTransport transport;
+    private Membership membership;
+    private MembershipDriver driver;
 
     /**
      * Makes a view that holds nobody.
      *
-     * @param settings this daemon's name and place
+     * @param settings this daemon's name, place and port
+     * @param incarnation rises with every start of a daemon of this name
      */
-    public Peers(DaemonSettings settings) {
+    public Peers(DaemonSettings settings, long incarnation) {
         this.settings = settings;
+        this.incarnation = incarnation;
+        this.payload = new Payload("", settings.dataCentre(), settings.region(), 0, 0, 0);
     }
 
     @Override
@@ -33,17 +79,126 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of();
+        return List.of(AuditTrail.NAME, ControlLoop.NAME, VmWatcher.NAME);
     }
 
     @Override
     public List<StartFinding> start(Kernel kernel) {
+        audit = kernel.find(AuditTrail.NAME);
+        loop = kernel.find(ControlLoop.NAME);
+        MemberId self = new MemberId(settings.name(), incarnation);
+        try {
+            transport = PeerTransport.builder()
+                    .bind(new InetSocketAddress(settings.address(), settings.peersPort()))
+                    .self(self)
+                    .failures(failure -> LOG.warn("a message of another daemon could not be taken", failure))
+                    .build()
+                    .start();
+        } catch (UncheckedIOException e) {
+            return List.of(new StartFinding(NAME.value(), "can't listen for other daemons: " + e.getMessage()));
+        }
+        membership = Membership.builder()
+                .self(self)
+                .address(transport.address())
+                .payload(payload)
+                .random(RandomGenerator.getDefault())
+                .build(System.nanoTime());
+        driver = new MembershipDriver(transport, membership, this::changed);
+        driver.start(MembershipSettings.STANDARD.tickNanos());
+        kernel.find(VmWatcher.NAME).onChange(this::listed);
+        transport.execute(this::publishView);
         return List.of();
     }
 
     @Override
     public void stop() {
-        // Nothing runs yet.
+        driver.submit(new MembershipEvent.Depart());
+        transport.execute(() -> {});
+        transport.close();
+    }
+
+    /**
+     * This daemon's name.
+     *
+     * @return the VM's name
+     */
+    public String self() {
+        return settings.name();
+    }
+
+    /**
+     * Tells this life of the process from others of the same name.
+     *
+     * @return the incarnation that the process started with
+     */
+    public long life() {
+        return incarnation;
+    }
+
+    /**
+     * The port of this daemon's peers' side.
+     *
+     * @return TCP and UDP port
+     */
+    public int port() {
+        return transport.port();
+    }
+
+    /**
+     * The fleet as it was last seen.
+     *
+     * @return this daemon first; dead ones are included for a while
+     */
+    public List<Member> view() {
+        return view;
+    }
+
+    /**
+     * Calls back on the control loop with each new view of the fleet.
+     *
+     * @param listener must not block
+     */
+    public void onView(Consumer<List<Member>> listener) {
+        viewListeners.add(listener);
+        loop.execute(() -> listener.accept(view));
+    }
+
+    /**
+     * Sends a message to a daemon; to one that is not known it is dropped, as the network would do.
+     *
+     * @param member the daemon's name
+     * @param channel the channel
+     * @param body the message
+     */
+    public void send(String member, String channel, byte[] body) {
+        for (Member each : view) {
+            if (each.name().equals(member)) {
+                transport.send(each.address(), channel, body);
+                return;
+            }
+        }
+    }
+
+    /**
+     * Takes the messages of a channel, on the control loop.
+     *
+     * @param channel the channel
+     * @param listener hears of each message with its sender's name
+     */
+    public void receive(String channel, MessageListener listener) {
+        transport.receive(
+                channel,
+                message -> loop.execute(() -> listener.received(message.sender().name(), message.body())));
+    }
+
+    /**
+     * Tells the others which number this daemon has in force.
+     *
+     * @param number the number
+     * @param digest its digest
+     */
+    public void configurationInForce(long number, long digest) {
+        transport.execute(() -> tell(payload.withConfiguration(number, digest)));
     }
 
     /**
@@ -52,24 +207,111 @@
      * @param port the TCP port
      */
     public void callersPort(int port) {
-        callersPort = port;
+        String address = settings.address() + ":" + port;
+        transport.execute(() -> tell(new Payload(
+                address,
+                payload.dataCentre(),
+                payload.region(),
+                payload.configurationNumber(),
+                payload.configurationDigest(),
+                payload.loadPermille())));
     }
 
     /** Tells the others that this daemon is leaving. */
     public void leave() {
-        leaving = true;
+        driver.submit(new MembershipEvent.Leave());
     }
 
     /**
      * The daemons that a caller may use.
      *
      * @param caller anything that stays the same for one caller
-     * @return own data centre first
+     * @return own data centre first; empty if no daemon may be used
      */
     public List<CallerAddress> callerAddresses(String caller) {
-        if (leaving) {
-            return List.of();
+        List<Member> reachable = view.stream()
+                .filter(member -> !member.payload().callersAddress().isEmpty())
+                .toList();
+        Ownership ownership = new Ownership(reachable, 0, System.nanoTime());
+        List<CallerAddress> addresses = new ArrayList<>();
+        for (Member member : ownership.addresses(caller, settings.dataCentre(), settings.region(), ADDRESSES)) {
+            boolean near = member.payload().dataCentre().equals(settings.dataCentre());
+            addresses.add(new CallerAddress(
+                    member.payload().callersAddress(), member.payload().dataCentre(), near ? 2 : 1));
         }
-        return List.of(new CallerAddress(settings.address() + ":" + callersPort, settings.dataCentre(), 1));
+        return addresses;
+    }
+
+    /**
+     * The transport that the others are reached by, for parts that bring a driver of their own.
+     *
+     * @return the transport; handlers run on its thread
+     */
+    public PeerTransport transport() {
+        return transport;
+    }
+
+    /**
+     * Calls back on the transport's thread with each effect of the membership.
+     *
+     * @param listener must not block
+     */
+    public void onMembership(MembershipListener listener) {
+        membershipListeners.add(listener);
+    }
+
+    private void tell(Payload changed) {
+        payload = changed;
+        driver.handle(new MembershipEvent.PayloadChanged(changed));
+        publishView();
+    }
+
+    private void listed(List<Vm> vms) {
+        List<ListedVm> others = vms.stream()
+                .filter(vm -> vm.kind().equals(Vm.ENTRY) && !vm.name().equals(settings.name()))
+                .map(vm -> new ListedVm(vm.name(), address(vm.address())))
+                .toList();
+        driver.submit(new MembershipEvent.Listed(others));
+    }
+
+    private void changed(MembershipEffect effect) {
+        if (effect instanceof MembershipEffect.Changed changed) {
+            audit(changed.member());
+        } else if (effect instanceof MembershipEffect.PauseNoticed paused) {
+            audit.add(
+                    AuditEvent.Kind.PROCESS,
+                    settings.name(),
+                    "this process was paused for " + paused.gapNanos() / 1_000_000 + " ms",
+                    "",
+                    "");
+        } else if (effect instanceof MembershipEffect.Superseded superseded) {
+            audit.add(AuditEvent.Kind.PROCESS, settings.name(), "replaced by " + superseded.successor(), "", "");
+        }
+        publishView();
+        List<Member> members = view;
+        membershipListeners.forEach(listener -> listener.changed(effect, membership.self(), members));
+    }
+
+    private void audit(Member member) {
+        MemberState before = states.put(member.name(), member.state());
+        if (before != member.state()) {
+            audit.add(
+                    AuditEvent.Kind.MEMBERSHIP,
+                    member.name(),
+                    "incarnation " + member.id().incarnation(),
+                    before == null ? "" : before.name(),
+                    member.state().name());
+        }
+    }
+
+    private void publishView() {
+        List<Member> members = List.copyOf(membership.members());
+        view = members;
+        loop.execute(() -> viewListeners.forEach(listener -> listener.accept(members)));
+    }
+
+    private static InetSocketAddress address(String ipAndPort) {
+        int colon = ipAndPort.lastIndexOf(':');
+        return new InetSocketAddress(ipAndPort.substring(0, colon), Integer.parseInt(ipAndPort.substring(colon + 1)));
     }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/HttpConfigSource.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/HttpConfigSource.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Locale;
-import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -22,29 +21,15 @@
     private static final int NOT_FOUND = 404;
 
     private final HttpClient client;
-    private final Supplier<Boolean> mayRead;
     private final ObjectMapper json = new ObjectMapper();
 
     /**
-     * Makes a reader.
+     * Makes a reader. It keeps no budget: whoever reads through it does.
      *
      * @param address IP number and port
-     * @param mayRead asked before each call, takes one read from the budget; a call over budget fails at once
      */
-    public HttpConfigSource(String address, Supplier<Boolean> mayRead) {
+    public HttpConfigSource(String address) {
         this.client = HttpClient.create().baseUrl("http://" + address);
-        this.mayRead = mayRead;
-    }
-
-    /**
-     * Makes a reader with a budget of its own.
-     *
-     * @param address IP number and port
-     * @param readsPerSecond how many calls a second it may make in the long run
-     * @return the reader
-     */
-    public static HttpConfigSource withBudget(String address, double readsPerSecond) {
-        return new HttpConfigSource(address, new ReadBudget(readsPerSecond, System::nanoTime)::take);
     }
 
     @Override
@@ -68,12 +53,6 @@
     }
 
     private Mono<Answer> read(String path, Duration timeout) {
-        return Mono.defer(() -> mayRead.get()
-                ? request(path, timeout)
-                : Mono.error(new IOException("this process has spent its budget of reads")));
-    }
-
-    private Mono<Answer> request(String path, Duration timeout) {
         return client.get()
                 .uri(path)
                 .responseSingle((response, body) -> body.asString()
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/UpstreamFailure.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/UpstreamFailure.java
@@ -18,7 +18,9 @@
         /** The connection broke, or the answer made no sense, after something was written. It may have run. */
         BROKEN,
         /** Nothing came for too long after something was written. It may have run. */
-        SILENT
+        SILENT,
+        /** The scheduler took the worker away. It has run in part. */
+        PREEMPTED
     }
 
     /**
