--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Draft.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Draft.java
@@ -113,6 +113,7 @@
                 upstream.region(),
                 upstream.fencing(),
                 upstream.concurrency(),
+                upstream.loadsPerMinute(),
                 workers);
     }
 }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniText.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniText.java
@@ -67,8 +67,7 @@
     /** The INI reader merges sections of one name without a word, so that one would silently change the other. */
     private static void reportRepeatedSections(String file, String text, Findings findings) {
         Set<String> seen = new HashSet<>();
-        for (String line : text.split("\\R")) {
-            String trimmed = line.trim();
+        for (String trimmed : text.lines().map(String::trim).toList()) {
             boolean header = trimmed.startsWith("[") && trimmed.endsWith("]") && trimmed.length() > 1;
             if (header && !seen.add(trimmed)) {
                 String section = trimmed.substring(1, trimmed.length() - 1).trim();
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/UpstreamSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/UpstreamSection.java
@@ -10,8 +10,11 @@
     static final String REGION = "region";
     static final String FENCING = "fencing";
     static final String CONCURRENCY = "concurrency";
+    static final String LOADS_PER_MINUTE = "loads-per-minute";
 
     private static final long MOST_CONCURRENCY = 100_000;
+    private static final long MOST_LOADS_PER_MINUTE = 10_000;
+    private static final long DEFAULT_LOADS_PER_MINUTE = 6;
 
     @Override
     public String word() {
@@ -20,7 +23,7 @@
 
     @Override
     public List<String> keys() {
-        return List.of(KIND, REGION, FENCING, CONCURRENCY);
+        return List.of(KIND, REGION, FENCING, CONCURRENCY, LOADS_PER_MINUTE);
     }
 
     @Override
@@ -30,7 +33,13 @@
         Upstream.Fencing fencing = in.optional(FENCING, Value.oneOf(Upstream.Fencing.class), Upstream.Fencing.IGNORED);
         int concurrency =
                 in.required(CONCURRENCY, Value.integer(1, MOST_CONCURRENCY)).intValue();
-        return new Upstream(in.name(), kind, region, fencing, concurrency, List.of());
+        long usual = kind == Upstream.Kind.ENGINE ? DEFAULT_LOADS_PER_MINUTE : 0;
+        int loads = in.optional(LOADS_PER_MINUTE, Value.integer(0, MOST_LOADS_PER_MINUTE), usual)
+                .intValue();
+        if (kind == Upstream.Kind.SERVICE && loads != 0) {
+            in.add(LOADS_PER_MINUTE, "0 for a plain service", String.valueOf(loads));
+        }
+        return new Upstream(in.name(), kind, region, fencing, concurrency, loads, List.of());
     }
 
     @Override
@@ -40,6 +49,7 @@
         entries.put(REGION, value.region());
         entries.put(FENCING, Value.word(value.fencing()));
         entries.put(CONCURRENCY, String.valueOf(value.concurrency()));
+        entries.put(LOADS_PER_MINUTE, String.valueOf(value.loadsPerMinute()));
         return entries;
     }
 
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/WorkerSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/WorkerSection.java
@@ -9,6 +9,7 @@
     static final String UPSTREAM = "upstream";
     static final String ADDRESS = "address";
     static final String DATA_CENTRE = "data-centre";
+    static final String LEAVING = "leaving";
 
     @Override
     public String word() {
@@ -17,14 +18,16 @@
 
     @Override
     public List<String> keys() {
-        return List.of(UPSTREAM, ADDRESS, DATA_CENTRE);
+        return List.of(UPSTREAM, ADDRESS, DATA_CENTRE, LEAVING);
     }
 
     @Override
     public PlacedWorker read(SectionReader in) {
         String upstream = in.required(UPSTREAM, Value.NAMED);
         String address = in.required(ADDRESS, Value.ADDRESS);
-        return new PlacedWorker(upstream, new Worker(in.name(), address, in.required(DATA_CENTRE, Value.NAMED)));
+        String dataCentre = in.required(DATA_CENTRE, Value.NAMED);
+        boolean leaving = in.optional(LEAVING, Value.BOOLEAN, false);
+        return new PlacedWorker(upstream, new Worker(in.name(), address, dataCentre, leaving));
     }
 
     @Override
@@ -33,6 +36,7 @@
         entries.put(UPSTREAM, value.upstream());
         entries.put(ADDRESS, value.worker().address());
         entries.put(DATA_CENTRE, value.worker().dataCentre());
+        entries.put(LEAVING, String.valueOf(value.worker().leaving()));
         return entries;
     }
 
