--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Draft.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Draft.java
@@ -106,7 +106,7 @@
         return complete;
     }
 
-    private static Upstream withWorkers(Upstream upstream, List<Worker> workers) {
+    static Upstream withWorkers(Upstream upstream, List<Worker> workers) {
         return new Upstream(
                 upstream.name(),
                 upstream.kind(),
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/NearestName.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/NearestName.java
@@ -3,7 +3,7 @@
 import java.util.Collection;
 import java.util.Optional;
 
-/** Finds the known name that somebody probably meant, by edit distance (Levenshtein). */
+/** Finds the known name that somebody probably meant, by the optimal string alignment distance. */
 public final class NearestName {
     /** A name counts as meant if no more than this fraction of its characters differ. */
     private static final double LARGEST_FRACTION = 0.5;
@@ -46,19 +46,28 @@
     }
 
     private static int distance(String a, String b) {
-        int[] previous = new int[b.length() + 1];
+        int[][] distance = new int[a.length() + 1][b.length() + 1];
+        for (int i = 0; i <= a.length(); i++) {
+            distance[i][0] = i;
+        }
         for (int j = 0; j <= b.length(); j++) {
-            previous[j] = j;
+            distance[0][j] = j;
         }
         for (int i = 1; i <= a.length(); i++) {
-            int[] current = new int[b.length() + 1];
-            current[0] = i;
             for (int j = 1; j <= b.length(); j++) {
-                int replaced = previous[j - 1] + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
-                current[j] = Math.min(replaced, 1 + Math.min(previous[j], current[j - 1]));
+                boolean same = a.charAt(i - 1) == b.charAt(j - 1);
+                int replaced = distance[i - 1][j - 1] + (same ? 0 : 1);
+                int moved = 1 + Math.min(distance[i - 1][j], distance[i][j - 1]);
+                distance[i][j] = Math.min(replaced, moved);
+                if (isSwap(a, i, b, j)) {
+                    distance[i][j] = Math.min(distance[i][j], 1 + distance[i - 2][j - 2]);
+                }
             }
-            previous = current;
         }
-        return previous[b.length()];
+        return distance[a.length()][b.length()];
+    }
+
+    private static boolean isSwap(String a, int i, String b, int j) {
+        return i > 1 && j > 1 && a.charAt(i - 1) == b.charAt(j - 2) && a.charAt(i - 2) == b.charAt(j - 1);
     }
 }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/PatchText.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/PatchText.java
@@ -94,12 +94,13 @@
     }
 
     private static String nearest(String[] words, Draft draft) {
-        List<String> starts = new ArrayList<>(List.of(HEADER));
-        for (String word : draft.words()) {
-            starts.add(SET + " " + word);
-            starts.add(REMOVE + " " + word);
+        String found = String.join(" ", words);
+        if (draft.words().contains(words[0])) {
+            return found + " (nearest: " + SET + " " + found + ")";
         }
-        String start = words.length > 1 ? words[0] + " " + words[1] : words[0];
-        return NearestName.hint(start, starts);
+        if (words.length < 2 || draft.words().contains(words[1])) {
+            return NearestName.hint(found, List.of(HEADER));
+        }
+        return NearestName.hint(words[1], draft.words());
     }
 }
