--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Findings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Findings.java
@@ -14,6 +14,18 @@
         list.add(new Finding(file, section, key, expected, found));
     }
 
+    /**
+     * Shortens an unknown key to its first word. A line without a separator is read as one long key; if somebody forgot
+     * the equals sign before a bearer key, the finding would otherwise print that key.
+     *
+     * @param key the key as it was read
+     * @return its first word, and dots for the rest
+     */
+    static String firstWord(String key) {
+        int blank = key.trim().indexOf(' ');
+        return blank < 0 ? key : key.trim().substring(0, blank) + " ...";
+    }
+
     int count() {
         return list.size();
     }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniText.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniText.java
@@ -44,7 +44,8 @@
         List<IniSection> sections = new ArrayList<>();
         for (ImmutableNode node : ini.getNodeModel().getNodeHandler().getRootNode()) {
             if (node.getValue() != null) {
-                findings.add(file, "", "", "every key inside a section", "key " + node.getNodeName());
+                findings.add(
+                        file, "", "", "every key inside a section", "key " + Findings.firstWord(node.getNodeName()));
                 continue;
             }
             sections.add(section(file, node, findings));
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IpAddress.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IpAddress.java
@@ -7,7 +7,7 @@
 import java.util.regex.Pattern;
 
 /** Reads IP numbers with and without a port. Never asks a name server: a host name is not an IP number. */
-final class IpAddress {
+public final class IpAddress {
     private static final int HIGHEST_PORT = 65_535;
     private static final Pattern IPV4 = Pattern.compile("((25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])(\\.(?!$)|$)){4}");
     private static final Pattern IPV6_CHARACTERS = Pattern.compile("[0-9a-f:.]*:[0-9a-f:.]*");
@@ -21,7 +21,7 @@
      * @param text the text
      * @return the text, or empty if it is not an IP number
      */
-    static Optional<String> number(String text) {
+    public static Optional<String> number(String text) {
         boolean right = IPV4.matcher(text).matches() || isIpv6(text);
         return right ? Optional.of(text) : Optional.empty();
     }
@@ -32,7 +32,7 @@
      * @param text the text
      * @return the text, or empty if it is not an IP number and a port from 1 to 65535
      */
-    static Optional<String> numberAndPort(String text) {
+    public static Optional<String> numberAndPort(String text) {
         Matcher matcher = WITH_PORT.matcher(text);
         if (!matcher.matches() || Integer.parseInt(matcher.group(3)) > HIGHEST_PORT) {
             return Optional.empty();
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/SectionReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/SectionReader.java
@@ -22,7 +22,8 @@
         this.findingsBefore = findings.count();
         for (String key : section.entries().keySet()) {
             if (!known.contains(key)) {
-                add(key, "one of " + String.join(", ", known), NearestName.hint(key, known));
+                String word = Findings.firstWord(key);
+                add(word, "one of " + String.join(", ", known), NearestName.hint(word, known));
             }
         }
     }
@@ -76,7 +77,7 @@
     private <T> T parsed(String key, Value<T> value, String text) {
         Optional<T> result = value.parser().apply(text);
         if (result.isEmpty()) {
-            add(key, value.expected(), text.isEmpty() ? "nothing" : text);
+            add(key, value.expected(), value.found(text));
         }
         return result.orElse(value.placeholder());
     }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Value.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Value.java
@@ -58,6 +58,19 @@
     static final Value<List<String>> NAMES =
             new Value<>("names between commas, each once", List.of(), Value::parseNames);
 
+    /**
+     * Writes a text that was not as expected.
+     *
+     * @param text the text
+     * @return the text; for a sum only its length, because somebody may have written the bearer key itself there
+     */
+    String found(String text) {
+        if (text.isEmpty()) {
+            return "nothing";
+        }
+        return this == DIGEST ? text.length() + " other characters" : text;
+    }
+
     static Value<Long> integer(long least, long most) {
         String expected = "a whole number from " + least + " to " + most;
         return new Value<>(expected, least, text -> parseInteger(text).filter(each -> each >= least && each <= most));
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/IniConfigurationReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/IniConfigurationReaderTest.java
@@ -119,6 +119,21 @@
         assertThat(reader.read(1, "doc.ini", text.replace("0.61", "0.6"))).isInstanceOf(Checked.Valid.class);
     }
 
+    /**
+     * Somebody writes a customer's bearer key where its SHA-256 belongs, or forgets the equals sign. Findings go to
+     * logs, to the audit trail and to terminals, and would give the key away there.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"key-sha256 = a-secret", "key-sha256 a-secret", "key = a-secret"})
+    void aFindingNeverShowsABearerKey(String line) {
+        String text = Texts.SMALL.replace("key-sha256 = " + "a".repeat(64), line);
+
+        List<Finding> findings = Texts.findings(reader.read(1, "doc.ini", text));
+
+        assertThat(findings).extracting(Finding::key).contains("key-sha256");
+        assertThat(findings.toString()).doesNotContain("secret");
+    }
+
     @Test
     void twoCustomersMayNotHaveTheSameKey() {
         String customer =
