--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Draft.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Draft.java
@@ -106,13 +106,14 @@
         return complete;
     }
 
-    private static Upstream withWorkers(Upstream upstream, List<Worker> workers) {
+    static Upstream withWorkers(Upstream upstream, List<Worker> workers) {
         return new Upstream(
                 upstream.name(),
                 upstream.kind(),
                 upstream.region(),
                 upstream.fencing(),
                 upstream.concurrency(),
+                upstream.loadsPerMinute(),
                 workers);
     }
 }
