--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/CellClient.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/CellClient.java
@@ -272,13 +272,9 @@
         if (ask != null && granted.grant().equals(ask.grant())) {
             return;
         }
-        boolean wanted =
-                ask != null && ask.waits() && ask.state() != ClientAsk.State.LOCAL && link.inTerm(from, message);
-        if (!wanted) {
+        if (ask == null || !wanted(ask, from, message, granted)) {
             link.send(from, new GrantMessage.Release(granted.ask(), granted.grant(), UNUSED), nowNanos, effects);
-            if (ask != null && ask.state() == ClientAsk.State.QUEUED) {
-                ask.becomes(ClientAsk.State.UNANSWERED);
-            }
+            giveBack(ask, granted.grant());
             return;
         }
         // The owner sent this no earlier than our stamp plus the time it had held it, so a lease counted from there
@@ -288,6 +284,21 @@
         effects.add(new ClientEffect.Granted(ask.number(), ask.grant(), ask.worker()));
     }
 
+    private boolean wanted(ClientAsk ask, String from, GrantMessage.ToAsker message, GrantMessage.Granted granted) {
+        boolean waitsThere = ask.waits() && ask.state() != ClientAsk.State.LOCAL;
+        return waitsThere && link.inTerm(from, message) && !ask.wasReturned(granted.grant());
+    }
+
+    private static void giveBack(ClientAsk ask, GrantId grant) {
+        if (ask == null) {
+            return;
+        }
+        ask.returned(grant);
+        if (ask.state() == ClientAsk.State.QUEUED) {
+            ask.becomes(ClientAsk.State.UNANSWERED);
+        }
+    }
+
     private void onRenewed(
             GrantMessage.ToAsker message, GrantMessage.Renewed renewed, long nowNanos, List<ClientEffect> effects) {
         boolean grantsUnknown = false;
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/ClientAsk.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/ClientAsk.java
@@ -1,5 +1,8 @@
 package org.dotterelcourse.coordination.grant;
 
+import java.util.HashSet;
+import java.util.Set;
+
 /** One ask of a {@link CellClient}, from its start until it is refused, withdrawn or released. */
 final class ClientAsk {
     /** Where an ask stands. */
@@ -30,6 +33,7 @@
     private long leaseEndsNanos;
     private int units;
     private boolean used;
+    private Set<GrantId> returned = Set.of();
     private long localNumber = NOT_ADOPTED;
 
     ClientAsk(long number, long arrivalNanos, long deadlineNanos, byte[] terms) {
@@ -116,6 +120,20 @@
         used = true;
     }
 
+    /**
+     * Notes a grant that goes back although the ask still waits. A second copy of it may arrive later, when the owner has
+     * given its place to another request already; taking that copy would put the worker above its capacity.
+     */
+    void returned(GrantId refused) {
+        Set<GrantId> more = new HashSet<>(returned);
+        more.add(refused);
+        returned = more;
+    }
+
+    boolean wasReturned(GrantId offered) {
+        return returned.contains(offered);
+    }
+
     /** Whether the local arbiter counts this grant. */
     boolean adopted() {
         return localNumber != NOT_ADOPTED;
