--- /dev/null
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/ticket/IdempotencyTableTest.java
@@ -0,0 +1,40 @@
+package org.dotterelcourse.coordination.ticket;
+
+import org.dotterelcourse.coordination.ticket.IdempotencyTable.Entering;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class IdempotencyTableTest {
+    private static final TicketOutcome OUTCOME = new TicketOutcome(TicketOutcome.Result.ANSWERED, new byte[] {1});
+    private final IdempotencyTable table = new IdempotencyTable(3, 2, 100);
+
+    /** A caller sends a payout again because the connection broke. The payout must not be made twice. */
+    @Test
+    void aDuplicateGetsTheFirstCallsOutcome() {
+        assertThat(table.enter("a", "k", 1, 0)).isInstanceOf(Entering.First.class);
+        assertThat(table.enter("a", "k", 1, 1)).isInstanceOf(Entering.Running.class);
+        table.finished("a", "k", OUTCOME, 2);
+
+        assertThat(table.enter("a", "k", 1, 3)).isEqualTo(new Entering.Ended(OUTCOME));
+        assertThat(table.enter("a", "k", 2, 3)).isInstanceOf(Entering.OtherCall.class);
+        assertThat(table.enter("b", "k", 1, 3)).isInstanceOf(Entering.First.class);
+    }
+
+    /** One customer uses very many keys. The others must still get theirs remembered, and none is dropped early. */
+    @Test
+    void aFullTableRefusesNewKeysAndKeepsTheOldOnes() {
+        table.enter("a", "1", 1, 0);
+        table.enter("a", "2", 1, 0);
+        assertThat(table.enter("a", "3", 1, 0)).isInstanceOf(Entering.Full.class);
+        assertThat(table.enter("b", "1", 1, 0)).isInstanceOf(Entering.First.class);
+        assertThat(table.enter("c", "1", 1, 0)).isInstanceOf(Entering.Full.class);
+
+        table.finished("a", "2", OUTCOME, 10);
+
+        assertThat(table.enter("c", "1", 1, 109)).isInstanceOf(Entering.Full.class);
+        assertThat(table.enter("c", "1", 1, 110)).isInstanceOf(Entering.First.class);
+        assertThat(table.enter("a", "1", 1, 110)).isInstanceOf(Entering.Running.class);
+        assertThat(table.size()).isEqualTo(3);
+    }
+}
