--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/OperatorsEdge.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/OperatorsEdge.java
@@ -66,7 +66,14 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(AuditTrail.NAME, ConfigurationStore.NAME, RequestMetrics.NAME, CallersEdge.NAME, Drain.NAME, Peers.NAME, OwnedGrants.NAME);
+        return List.of(
+                AuditTrail.NAME,
+                ConfigurationStore.NAME,
+                RequestMetrics.NAME,
+                CallersEdge.NAME,
+                Drain.NAME,
+                Peers.NAME,
+                OwnedGrants.NAME);
     }
 
     @Override
