--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniText.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniText.java
@@ -44,7 +44,8 @@
         List<IniSection> sections = new ArrayList<>();
         for (ImmutableNode node : ini.getNodeModel().getNodeHandler().getRootNode()) {
             if (node.getValue() != null) {
-                findings.add(file, "", "", "every key inside a section", "key " + node.getNodeName());
+                findings.add(
+                        file, "", "", "every key inside a section", "key " + Findings.firstWord(node.getNodeName()));
                 continue;
             }
             sections.add(section(file, node, findings));
@@ -67,8 +68,7 @@
     /** The INI reader merges sections of one name without a word, so that one would silently change the other. */
     private static void reportRepeatedSections(String file, String text, Findings findings) {
         Set<String> seen = new HashSet<>();
-        for (String line : text.split("\\R")) {
-            String trimmed = line.trim();
+        for (String trimmed : text.lines().map(String::trim).toList()) {
             boolean header = trimmed.startsWith("[") && trimmed.endsWith("]") && trimmed.length() > 1;
             if (header && !seen.add(trimmed)) {
                 String section = trimmed.substring(1, trimmed.length() - 1).trim();
