Tickets and idempotency keys at the callers' edge

Cause: a caller that repeats a payout at another daemon ran it twice. A ticket is spent at the process that minted it, whichever daemon the call comes to.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
@@ -16,6 +16,7 @@
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.StartFinding;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
+import org.dotterelcourse.daemon.once.Tickets;
 import org.dotterelcourse.daemon.operators.Drain;
 import org.dotterelcourse.daemon.operators.OperatorsEdge;
 import org.dotterelcourse.daemon.peers.Peers;
@@ -57,6 +58,7 @@
                 .register(new LoadPoller(new HttpLoadReports()))
                 .register(new Dispatchers(
                         new HttpEngine(timeouts), new HttpPlainService(timeouts.connect(), MAX_ANSWER_BYTES)))
+                .register(new Tickets())
                 .register(new RequestMetrics())
                 .register(new AddressBook(settings))
                 .register(new CallersEdge(settings))
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/CallersEdge.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/CallersEdge.java
@@ -7,18 +7,16 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.dotterelcourse.configuration.DaemonSettings;
-import org.dotterelcourse.configuration.RequestClass;
-import org.dotterelcourse.daemon.dispatch.ChatCall;
 import org.dotterelcourse.daemon.dispatch.Dispatchers;
 import org.dotterelcourse.daemon.dispatch.Failure;
-import org.dotterelcourse.daemon.dispatch.ServiceAnswer;
-import org.dotterelcourse.daemon.dispatch.ServiceRequest;
 import org.dotterelcourse.daemon.http.BoundedBody;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
 import org.dotterelcourse.daemon.kernel.ServiceName;
 import org.dotterelcourse.daemon.kernel.StartFinding;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
+import org.dotterelcourse.daemon.once.OnceGate;
+import org.dotterelcourse.daemon.once.Tickets;
 import org.dotterelcourse.daemon.platform.ConfigurationStore;
 import org.jboss.logging.Logger;
 import org.reactivestreams.Publisher;
@@ -36,19 +34,15 @@
 
     private static final Logger LOG = Logger.getLogger(CallersEdge.class);
     private static final Pattern REQUEST_ID = Pattern.compile("[A-Za-z0-9._:/-]{1,128}");
-    private static final String SERVICES = "/v1/services/";
     private static final Duration STOP_LIMIT = Duration.ofSeconds(2);
 
     private final DaemonSettings settings;
-    private final BoundedBody bodies;
-    private final ChatRequests chatRequests = new ChatRequests();
     private final InFlight inFlight = new InFlight();
     private volatile boolean draining;
-    private CallerCheck check;
     private AddressBook addresses;
-    private RequestMetrics metrics;
-    private Dispatchers dispatchers;
-    private ChatHandler chats;
+    private Route chats;
+    private Route services;
+    private Route tickets;
     private DisposableServer server;
 
     /**
@@ -58,7 +52,6 @@
      */
     public CallersEdge(DaemonSettings settings) {
         this.settings = settings;
-        this.bodies = new BoundedBody(settings.maxBodyBytes());
     }
 
     @Override
@@ -68,16 +61,21 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(ConfigurationStore.NAME, RequestMetrics.NAME, Dispatchers.NAME, AddressBook.NAME);
+        return List.of(ConfigurationStore.NAME, RequestMetrics.NAME, Dispatchers.NAME, AddressBook.NAME, Tickets.NAME);
     }
 
     @Override
     public List<StartFinding> start(Kernel kernel) {
-        check = new CallerCheck(kernel.find(ConfigurationStore.NAME));
-        metrics = kernel.find(RequestMetrics.NAME);
-        dispatchers = kernel.find(Dispatchers.NAME);
         addresses = kernel.find(AddressBook.NAME);
-        chats = new ChatHandler(dispatchers.chat(), metrics);
+        RequestMetrics metrics = kernel.find(RequestMetrics.NAME);
+        Dispatchers dispatchers = kernel.find(Dispatchers.NAME);
+        Tickets once = kernel.find(Tickets.NAME);
+        CallerCheck check = new CallerCheck(kernel.find(ConfigurationStore.NAME));
+        BoundedBody bodies = new BoundedBody(settings.maxBodyBytes());
+        OnceGate gate = new OnceGate(once);
+        chats = new ChatRoute(check, bodies, gate, new ChatHandler(dispatchers.chat(), metrics));
+        services = new ServiceRoute(check, bodies, gate, dispatchers.service(), metrics);
+        tickets = new TicketRoute(check, once);
         try {
             server = HttpServer.create()
                     .host(settings.address())
@@ -138,89 +136,30 @@
         }
         return Mono.defer(() -> {
                     inFlight.enter();
-                    return route(id, arrivalNanos, request, response);
+                    return route(new Exchange(id, arrivalNanos, request, response));
                 })
                 .onErrorResume(BoundedBody.TooLargeException.class, error -> tooLarge(response, id))
                 .onErrorResume(error -> internalError(error, response, id))
                 .doFinally(signal -> inFlight.leave());
     }
 
-    private Mono<Void> route(String id, long arrivalNanos, HttpServerRequest request, HttpServerResponse response) {
-        String path = request.fullPath();
-        boolean post = request.method().name().equals("POST");
+    private Mono<Void> route(Exchange exchange) {
+        String path = exchange.request().fullPath();
         if (path.equals("/v1/addresses")) {
-            return addresses.answer(request.requestHeaders(), response);
+            return addresses.answer(exchange.headers(), exchange.response());
         }
-        if (path.equals("/v1/chat/completions") && post) {
-            return chat(id, arrivalNanos, request, response);
+        if (path.equals("/v1/chat/completions")
+                && exchange.request().method().name().equals("POST")) {
+            return chats.handle(exchange);
         }
-        if (path.startsWith(SERVICES)) {
-            return service(id, arrivalNanos, request, response);
+        if (path.startsWith(ServiceRoute.PREFIX)) {
+            return services.handle(exchange);
         }
-        Failure unknown = Failure.notRun(Failure.NOT_FOUND, "unknown path", "there is nothing at " + path);
-        return Replies.problem(response, unknown, id);
-    }
-
-    private Mono<Void> chat(String id, long arrivalNanos, HttpServerRequest request, HttpServerResponse response) {
-        Parsed<Caller> caller = check.caller(request.requestHeaders());
-        if (caller instanceof Parsed.Wrong<Caller> wrong) {
-            return Replies.problem(response, wrong.failure(), id);
+        if (path.startsWith(TicketRoute.PATH)) {
+            return tickets.handle(exchange);
         }
-        Caller known = ((Parsed.Right<Caller>) caller).value();
-        Parsed<RequestClass> found = check.chatClass(known, request.requestHeaders());
-        if (found instanceof Parsed.Wrong<RequestClass> wrong) {
-            return Replies.problem(response, wrong.failure(), id);
-        }
-        RequestClass requestClass = ((Parsed.Right<RequestClass>) found).value();
-        response.header("X-Request-Class", requestClass.name());
-        return bodies.collect(request.receive()).flatMap(body -> {
-            Parsed<ChatCall> call = chatRequests.parse(id, known.customer().name(), requestClass, body, arrivalNanos);
-            if (call instanceof Parsed.Wrong<ChatCall> wrong) {
-                return Replies.problem(response, wrong.failure(), id);
-            }
-            return chats.handle(((Parsed.Right<ChatCall>) call).value(), response);
-        });
-    }
-
-    private Mono<Void> service(String id, long arrivalNanos, HttpServerRequest request, HttpServerResponse response) {
-        Parsed<Caller> caller = check.caller(request.requestHeaders());
-        if (caller instanceof Parsed.Wrong<Caller> wrong) {
-            return Replies.problem(response, wrong.failure(), id);
-        }
-        Caller known = ((Parsed.Right<Caller>) caller).value();
-        String rest = request.uri().substring(SERVICES.length());
-        int slash = rest.indexOf('/');
-        String upstream = slash < 0 ? rest : rest.substring(0, slash);
-        String path = slash < 0 ? "/" : rest.substring(slash);
-        Parsed<RequestClass> found = check.serviceClass(known, request.requestHeaders(), upstream);
-        if (found instanceof Parsed.Wrong<RequestClass> wrong) {
-            return Replies.problem(response, wrong.failure(), id);
-        }
-        RequestClass requestClass = ((Parsed.Right<RequestClass>) found).value();
-        response.header("X-Request-Class", requestClass.name());
-        String contentType = request.requestHeaders().get("Content-Type", "application/octet-stream");
-        return bodies.collect(request.receive())
-                .map(body -> new ServiceRequest(
-                        id,
-                        known.customer().name(),
-                        requestClass,
-                        request.method().name(),
-                        path,
-                        contentType,
-                        body,
-                        arrivalNanos))
-                .flatMap(call -> answer(call, response));
-    }
-
-    private Mono<Void> answer(ServiceRequest call, HttpServerResponse response) {
-        Mono<ServiceAnswer> answer = metrics.watch(call.id(), call.customer(), call.requestClass(), call.arrivalNanos())
-                .watch(dispatchers.service().dispatch(call));
-        return answer.flatMap(result -> {
-            if (result instanceof ServiceAnswer.Answered answered) {
-                return Replies.answered(response, answered.status(), answered.contentType(), answered.body());
-            }
-            return Replies.problem(response, ((ServiceAnswer.Failed) result).failure(), call.id());
-        });
+        Failure unknown = Failure.notRun(Failure.NOT_FOUND, "unknown path", "there is nothing at " + path);
+        return Replies.problem(exchange.response(), unknown, exchange.id());
     }
 
     private static String requestId(HttpHeaders headers) {
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatHandler.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatHandler.java
@@ -1,11 +1,13 @@
 package org.dotterelcourse.daemon.edge;
 
 import java.time.Duration;
+import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
 import org.dotterelcourse.daemon.dispatch.AnswerEvent;
 import org.dotterelcourse.daemon.dispatch.ChatCall;
 import org.dotterelcourse.daemon.dispatch.ChatDispatcher;
+import org.dotterelcourse.daemon.dispatch.Outcome;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -28,8 +30,9 @@
         this.metrics = metrics;
     }
 
-    Mono<Void> handle(ChatCall call, HttpServerResponse response) {
-        Flux<AnswerEvent> events = metrics.watch(call.id(), call.customer(), call.requestClass(), call.arrivalNanos())
+    Mono<Void> handle(ChatCall call, HttpServerResponse response, Consumer<Outcome> ended) {
+        Flux<AnswerEvent> events = metrics.watch(
+                        call.id(), call.customer(), call.requestClass(), call.arrivalNanos(), ended)
                 .watch(dispatcher.dispatch(call));
         boolean stream = call.body().path("stream").asBoolean(false);
         return stream ? stream(call, events, response) : whole(call, events, response);
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatRoute.java
@@ -0,0 +1,56 @@
+package org.dotterelcourse.daemon.edge;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.dotterelcourse.configuration.RequestClass;
+import org.dotterelcourse.daemon.dispatch.ChatCall;
+import org.dotterelcourse.daemon.http.BoundedBody;
+import org.dotterelcourse.daemon.once.OnceGate;
+import reactor.core.publisher.Mono;
+
+/** Checks chat completions and hands them on. */
+final class ChatRoute implements Route {
+    private final CallerCheck check;
+    private final BoundedBody bodies;
+    private final OnceGate gate;
+    private final ChatHandler chats;
+    private final ChatRequests requests = new ChatRequests();
+
+    ChatRoute(CallerCheck check, BoundedBody bodies, OnceGate gate, ChatHandler chats) {
+        this.check = check;
+        this.bodies = bodies;
+        this.gate = gate;
+        this.chats = chats;
+    }
+
+    @Override
+    public Mono<Void> handle(Exchange exchange) {
+        Parsed<Caller> caller = check.caller(exchange.headers());
+        if (caller instanceof Parsed.Wrong<Caller> wrong) {
+            return Replies.problem(exchange.response(), wrong.failure(), exchange.id());
+        }
+        Caller known = ((Parsed.Right<Caller>) caller).value();
+        Parsed<RequestClass> found = check.chatClass(known, exchange.headers());
+        if (found instanceof Parsed.Wrong<RequestClass> wrong) {
+            return Replies.problem(exchange.response(), wrong.failure(), exchange.id());
+        }
+        RequestClass requestClass = ((Parsed.Right<RequestClass>) found).value();
+        exchange.response().header(Replies.REQUEST_CLASS, requestClass.name());
+        return bodies.collect(exchange.request().receive())
+                .flatMap(body -> handle(exchange, known.customer().name(), requestClass, body));
+    }
+
+    private Mono<Void> handle(Exchange exchange, String customer, RequestClass requestClass, byte[] body) {
+        Parsed<ChatCall> parsed = requests.parse(exchange.id(), customer, requestClass, body, exchange.arrivalNanos());
+        if (parsed instanceof Parsed.Wrong<ChatCall> wrong) {
+            return Replies.problem(exchange.response(), wrong.failure(), exchange.id());
+        }
+        ChatCall call = ((Parsed.Right<ChatCall>) parsed).value();
+        long fingerprint = Hashing.komihash5_0().hashBytesToLong(body);
+        return OnceHeaders.enter(gate, exchange, customer, fingerprint).flatMap(pass -> {
+            if (pass instanceof OnceGate.Run run) {
+                return chats.handle(call, exchange.response(), run.ended());
+            }
+            return Replies.problem(exchange.response(), ((OnceGate.Stop) pass).failure(), exchange.id());
+        });
+    }
+}
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/Replies.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/Replies.java
@@ -13,6 +13,7 @@
 final class Replies {
     static final String OUTCOME = "X-Outcome";
     static final String REQUEST_ID = "X-Request-Id";
+    static final String REQUEST_CLASS = "X-Request-Class";
 
     private Replies() {}
 
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestMetrics.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestMetrics.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import org.dotterelcourse.configuration.RequestClass;
@@ -58,10 +59,12 @@
      * @param customer the customer's name
      * @param requestClass its class
      * @param arrivalNanos when it came
+     * @param ended to be told once how it ended
      * @return the watch
      */
-    public RequestWatch watch(String id, String customer, RequestClass requestClass, long arrivalNanos) {
-        return new RequestWatch(this, id, customer, requestClass, arrivalNanos);
+    public RequestWatch watch(
+            String id, String customer, RequestClass requestClass, long arrivalNanos, Consumer<Outcome> ended) {
+        return new RequestWatch(this, id, customer, requestClass, arrivalNanos, ended);
     }
 
     void ended(RequestWatch request, Outcome outcome, String reason) {
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestWatch.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 
 import org.dotterelcourse.configuration.RequestClass;
 import org.dotterelcourse.daemon.dispatch.AnswerEvent;
@@ -23,18 +24,26 @@
     private final String customer;
     private final RequestClass requestClass;
     private final long arrivalNanos;
+    private final Consumer<Outcome> listener;
     private final AtomicBoolean ended = new AtomicBoolean();
     private long firstNanos = -1;
     private long lastNanos;
     private int tokens;
     private int lateIntervals;
 
-    RequestWatch(RequestMetrics metrics, String id, String customer, RequestClass requestClass, long arrivalNanos) {
+    RequestWatch(
+            RequestMetrics metrics,
+            String id,
+            String customer,
+            RequestClass requestClass,
+            long arrivalNanos,
+            Consumer<Outcome> listener) {
         this.metrics = metrics;
         this.id = id;
         this.customer = customer;
         this.requestClass = requestClass;
         this.arrivalNanos = arrivalNanos;
+        this.listener = listener;
     }
 
     /**
@@ -89,6 +98,7 @@
 
     private void end(Outcome outcome, String reason) {
         if (ended.compareAndSet(false, true)) {
+            listener.accept(outcome);
             metrics.ended(this, outcome, reason);
         }
     }
