--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatProgress.java
@@ -0,0 +1,55 @@
+package org.dotterelcourse.daemon.dispatch;
+
+import org.dotterelcourse.daemon.upstream.UpstreamFailure;
+import org.dotterelcourse.policy.cell.Ask;
+
+/**
+ * How far a chat completion has come over all its attempts: the tokens that its caller has, and what is to be asked for
+ * next. Used by one attempt at a time.
+ */
+final class ChatProgress {
+    private final ChatCall call;
+    private final StringBuilder text = new StringBuilder();
+    private Ask ask;
+    private int tokens;
+    private boolean mayHaveRun;
+
+    ChatProgress(ChatCall call) {
+        this.call = call;
+        this.ask = Asks.of(call);
+    }
+
+    ChatCall call() {
+        return call;
+    }
+
+    Ask ask() {
+        return ask;
+    }
+
+    String text() {
+        return text.toString();
+    }
+
+    int tokens() {
+        return tokens;
+    }
+
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    void add(String piece) {
+        text.append(piece);
+        tokens++;
+        mayHaveRun = true;
+    }
+
+    void failed(UpstreamFailure failure) {
+        mayHaveRun |= !failure.notRun();
+    }
+
+    void next(Ask next) {
+        ask = next;
+    }
+}
