--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerTransport.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerTransport.java
@@ -12,21 +12,9 @@
 import java.util.random.RandomGenerator;
 
 import com.google.protobuf.ByteString;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.dotterelcourse.coordination.MemberId;
 import org.dotterelcourse.coordination.transport.generated.Envelope;
@@ -38,10 +26,7 @@
  */
 public final class PeerTransport implements AutoCloseable {
 
-    private static final int BIND_ATTEMPTS = 20;
     private static final int LINK_BOUND = 2_048;
-    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
-    private static final int DATAGRAM_BUFFER = 1 << 20;
     private static final long CLOSE_SECONDS = 5;
 
     private final InetSocketAddress bind;
@@ -55,9 +40,8 @@
     private final Map<InetSocketAddress, PeerLink> links = new HashMap<>();
     private final AtomicLong silences = new AtomicLong();
     private volatile MemberId self;
-    private Channel tcp;
-    private Channel udp;
-    private int port;
+    private volatile double datagramLoss;
+    private final PeerSockets sockets;
 
     PeerTransport(PeerTransportBuilder builder) {
         bind = builder.bind;
@@ -68,6 +52,7 @@
         group = new MultiThreadIoEventLoopGroup(
                 1, new DefaultThreadFactory("peers-" + self.name(), true), NioIoHandler.newFactory());
         loop = group.next();
+        sockets = new PeerSockets(this, group);
     }
 
     /**
@@ -86,16 +71,13 @@
      * @throws UncheckedIOException when the port is taken
      */
     public PeerTransport start() {
-        IOException last = null;
-        int attempts = bind.getPort() == 0 ? BIND_ATTEMPTS : 1;
-        for (int i = 0; i < attempts; i++) {
-            last = tryBind();
-            if (last == null) {
-                return this;
-            }
+        try {
+            sockets.bind(bind);
+        } catch (IOException e) {
+            close();
+            throw new UncheckedIOException(e);
         }
-        close();
-        throw new UncheckedIOException(last);
+        return this;
     }
 
     /**
@@ -104,7 +86,7 @@
      * @return the port number, 0 before the start
      */
     public int port() {
-        return port;
+        return sockets.port();
     }
 
     /**
@@ -113,7 +95,7 @@
      * @return IP number and port
      */
     public InetSocketAddress address() {
-        return new InetSocketAddress(bind.getAddress(), port);
+        return new InetSocketAddress(bind.getAddress(), sockets.port());
     }
 
     /**
@@ -171,7 +153,10 @@
         }
         byte[] bytes = envelope(channel, ByteString.copyFrom(body)).toByteArray();
         counters.sent(channel, bytes.length);
-        udp.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to), udp.voidPromise());
+        if (datagramLoss > 0 && random.nextDouble() < datagramLoss) {
+            return;
+        }
+        sockets.sendDatagram(to, bytes);
     }
 
     /**
@@ -193,6 +178,25 @@
         loop.scheduleWithFixedDelay(() -> guarded(task), periodNanos, periodNanos, TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * Runs a task on the transport's thread once.
+     *
+     * @param delayNanos after how long, in nanoseconds
+     * @param task must not block
+     */
+    public void after(long delayNanos, Runnable task) {
+        schedule(() -> guarded(task), delayNanos);
+    }
+
+    /**
+     * Drops a share of the datagrams that are sent from now on, to measure what loss does.
+     *
+     * @param share from 0 for none to 1 for all
+     */
+    public void loseDatagrams(double share) {
+        datagramLoss = share;
+    }
+
     /**
      * What each channel has carried.
      *
@@ -255,19 +259,7 @@
     }
 
     void connect(InetSocketAddress peer) {
-        PeerConnection connection = new PeerConnection(this, peer);
-        ChannelFuture attempt = new Bootstrap()
-                .group(group)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(pipeline(connection))
-                .connect(peer);
-        attempt.addListener(result -> {
-            if (!result.isSuccess()) {
-                link(peer).connectFailed();
-            }
-        });
+        sockets.connect(peer, new PeerConnection(this, peer));
     }
 
     void opened(PeerConnection connection, InetSocketAddress peer) {
@@ -329,51 +321,4 @@
             failures.accept(e);
         }
     }
-
-    /** With port 0 the system picks the TCP port; UDP may find the same number taken, and both start over. */
-    private IOException tryBind() {
-        ChannelFuture tcpBound = bindTcp().awaitUninterruptibly();
-        if (!tcpBound.isSuccess()) {
-            return new IOException("TCP " + bind, tcpBound.cause());
-        }
-        tcp = tcpBound.channel();
-        port = ((InetSocketAddress) tcp.localAddress()).getPort();
-        ChannelFuture udpBound = bindUdp().awaitUninterruptibly();
-        if (udpBound.isSuccess()) {
-            udp = udpBound.channel();
-            return null;
-        }
-        tcp.close().awaitUninterruptibly();
-        return new IOException("UDP " + address(), udpBound.cause());
-    }
-
-    private ChannelFuture bindTcp() {
-        return new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(pipeline(null))
-                .bind(bind);
-    }
-
-    private ChannelFuture bindUdp() {
-        return new Bootstrap()
-                .group(group)
-                .channel(NioDatagramChannel.class)
-                .option(ChannelOption.SO_RCVBUF, DATAGRAM_BUFFER)
-                .handler(new DatagramReader(this))
-                .bind(address());
-    }
-
-    /** The pipeline of one connection; an inbound one gets a new end for each connection. */
-    private ChannelInitializer<SocketChannel> pipeline(PeerConnection outbound) {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(SocketChannel channel) {
-                PeerConnection end = outbound == null ? new PeerConnection(PeerTransport.this, null) : outbound;
-                channel.pipeline().addLast(new EnvelopeFrames(limits.messageBytes()), end);
-            }
-        };
-    }
 }
