Page and example on embedding; a member sees its own leaving

An embedder that asks who owns a cell went on naming itself after it had begun to leave, since only others' changes were told. The machine now tells its own too; the example caught it.

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/configuration/ConfigurationDriver.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/configuration/ConfigurationDriver.java
@@ -66,6 +66,9 @@
             if (!changed.payloadOnly()) {
                 handle(roster(self, members));
             }
+            if (member.name().equals(self.name())) {
+                return;
+            }
             handle(new RelayEvent.PeerHead(
                     member.name(),
                     member.payload().configurationNumber(),
--- /dev/null
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/example/package-info.java
@@ -0,0 +1,2 @@
+/** A runnable example of embedding the coordination parts; docs/EMBEDDING.md walks through it. */
+package org.dotterelcourse.coordination.example;
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/measure/MeasureCoordination.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/measure/MeasureCoordination.java
@@ -57,25 +57,29 @@
     }
 
     private static void header() {
-        say("| nodes | all joined s | sent B/s | received B/s | messages/s | core %% | heap KB | first suspects s |"
-                + " all suspect s | all hold dead s | false suspicions | false deaths | change everywhere ms |");
-        say("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
+        say(
+                "| nodes | all joined s | sent B/s | received B/s | messages/s | core %% | process core %% | heap KB | first suspects s |"
+                        + " all suspect s | all hold dead s | paused suspected | running suspected | running held dead | change everywhere ms |");
+        say(
+                "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
     }
 
     private static void print(MeasuredFleet.Result result) {
         say(
-                "| %d | %.1f | %.0f | %.0f | %.1f | %.3f | %.0f | %.2f | %.2f | %.2f | %d | %d | %.0f |",
+                "| %d | %.1f | %.0f | %.0f | %.1f | %.3f | %.3f | %.0f | %.2f | %.2f | %.2f | %d | %d | %d | %.0f |",
                 result.size(),
                 result.joinSeconds(),
                 result.sentBytes(),
                 result.receivedBytes(),
                 result.messages(),
                 result.core() * PERCENT,
+                result.processCore() * PERCENT,
                 result.heapBytes() / KILO,
                 result.suspectFirst(),
                 result.suspectLast(),
                 result.deadLast(),
-                result.falseSuspicions(),
+                result.ofPaused(),
+                result.ofRunning(),
                 result.falseDeaths(),
                 result.changeMillis());
     }
@@ -90,6 +94,7 @@
                 result -> (result.sentBytes() + result.receivedBytes()) / KILO,
                 BYTES_LIMIT / KILO);
         fit(results, "core %", result -> result.core() * PERCENT, CORE_LIMIT * PERCENT);
+        fit(results, "process core %", result -> result.processCore() * PERCENT, CORE_LIMIT * PERCENT);
         fit(results, "heap MB", result -> result.heapBytes() / MEGA, HEAP_LIMIT / MEGA);
     }
 
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/measure/MeasuredFleet.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/measure/MeasuredFleet.java
@@ -3,9 +3,12 @@
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.ToLongFunction;
 
 import com.sun.management.OperatingSystemMXBean;
 import org.dotterelcourse.coordination.membership.ListedVm;
@@ -30,6 +33,7 @@
 
     private final MeasuredService service = new MeasuredService();
     private final List<MeasuredNode> nodes = new ArrayList<>();
+    private final Map<String, Long> pausedUntil = new ConcurrentHashMap<>();
     private final Random random = new Random(1);
 
     /**
@@ -40,12 +44,14 @@
      * @param sentBytes bytes a node sends a second, in a quiet fleet with a change of configuration every 5.4 s
      * @param receivedBytes bytes a node receives a second
      * @param messages messages a node sends and receives a second
-     * @param core share of a core that a node uses
+     * @param core share of a core that a node's thread uses
+     * @param processCore share of a core that the whole process uses for a node, compiler and collector included
      * @param heapBytes heap of a node
      * @param suspectFirst seconds from an abrupt stop until a first node suspects it
      * @param suspectLast seconds until the last node does
      * @param deadLast seconds until the last node takes it for dead
-     * @param falseSuspicions suspicions of running nodes, over all views, under loss and pauses
+     * @param ofPaused suspicions of nodes paused for 1.5 s, over all views, ten pauses and 5% loss
+     * @param ofRunning suspicions of other nodes in the same time
      * @param falseDeaths running nodes declared dead, over all views, under loss and pauses
      * @param changeMillis longest time until a change was in force everywhere
      */
@@ -56,15 +62,17 @@
             double receivedBytes,
             double messages,
             double core,
+            double processCore,
             double heapBytes,
             double suspectFirst,
             double suspectLast,
             double deadLast,
-            long falseSuspicions,
+            long ofPaused,
+            long ofRunning,
             long falseDeaths,
             double changeMillis) {}
 
-    private record Traffic(double sent, double received, double messages, double core) {}
+    private record Traffic(double sent, double received, double messages, double core, double processCore) {}
 
     private record Detection(double suspectFirst, double suspectLast, double deadLast) {}
 
@@ -84,10 +92,12 @@
         Traffic traffic = steady();
         double heap = (double) (heap() - heapBefore) / size;
         double change = changes();
-        long suspicionsBefore = suspicions();
+        long pausedBefore = sum(MeasuredNode::suspicionsOfPaused);
+        long runningBefore = sum(MeasuredNode::suspicionsOfRunning);
         long deathsBefore = deaths();
         disturb();
-        long falseSuspicions = suspicions() - suspicionsBefore;
+        long ofPaused = sum(MeasuredNode::suspicionsOfPaused) - pausedBefore;
+        long ofRunning = sum(MeasuredNode::suspicionsOfRunning) - runningBefore;
         long falseDeaths = deaths() - deathsBefore;
         await(() -> nodes.stream().allMatch(node -> node.alive() == size - 1));
         Detection detection = detect();
@@ -98,18 +108,20 @@
                 traffic.received,
                 traffic.messages,
                 traffic.core,
+                traffic.processCore,
                 heap,
                 detection.suspectFirst,
                 detection.suspectLast,
                 detection.deadLast,
-                falseSuspicions,
+                ofPaused,
+                ofRunning,
                 falseDeaths,
                 change);
     }
 
     private double start(int size) throws InterruptedException {
         for (int i = 0; i < size; i++) {
-            nodes.add(new MeasuredNode(i, service));
+            nodes.add(new MeasuredNode(i, service, pausedUntil));
         }
         List<ListedVm> seeds = new ArrayList<>();
         for (MeasuredNode node : nodes.subList(0, Math.min(SEEDS, size))) {
@@ -128,19 +140,22 @@
     private Traffic steady() throws InterruptedException {
         long[] before = traffic();
         long start = System.nanoTime();
-        long processor = processorNanos();
+        long process = processNanos();
+        long threads = sum(MeasuredNode::processorNanos);
         for (int i = 0; i < STEADY_CHANGES; i++) {
             service.publish();
             Thread.sleep(CHANGE_PERIOD_MILLIS);
         }
         double perNode = secondsSince(start) * nodes.size();
         long[] after = traffic();
-        double core = (processorNanos() - processor) / NANOS_PER_SECOND / perNode;
+        double core = (sum(MeasuredNode::processorNanos) - threads) / NANOS_PER_SECOND / perNode;
+        double processCore = (processNanos() - process) / NANOS_PER_SECOND / perNode;
         return new Traffic(
                 (after[0] - before[0]) / perNode,
                 (after[1] - before[1]) / perNode,
                 (after[2] - before[2]) / perNode,
-                core);
+                core,
+                processCore);
     }
 
     private double changes() throws InterruptedException {
@@ -182,12 +197,12 @@
         return new Detection(first, last, dead);
     }
 
-    private long suspicions() {
-        return nodes.stream().mapToLong(MeasuredNode::suspicions).sum();
+    private long sum(ToLongFunction<MeasuredNode> value) {
+        return nodes.stream().mapToLong(value).sum();
     }
 
     private long deaths() {
-        return nodes.stream().mapToLong(MeasuredNode::deaths).sum();
+        return sum(MeasuredNode::deaths);
     }
 
     private long[] traffic() {
@@ -210,7 +225,7 @@
         return (System.nanoTime() - before) / NANOS_PER_SECOND;
     }
 
-    private static long processorNanos() {
+    private static long processNanos() {
         return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime();
     }
 
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/measure/MeasuredNode.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/measure/MeasuredNode.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.coordination.measure;
 
+import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -32,6 +33,9 @@
 
     private static final int DATA_CENTRES = 7;
     private static final int REGIONS = 3;
+    /** News of a suspicion may still spread when the pause has ended. */
+    private static final long NEWS_NANOS = 2_000_000_000L;
+
     private static final long TICK_NANOS = MembershipSettings.STANDARD.tickNanos();
 
     private final String name;
@@ -43,12 +47,16 @@
     private final Map<String, MemberState> states = new ConcurrentHashMap<>();
     private final Map<String, Long> suspectedNanos = new ConcurrentHashMap<>();
     private final Map<String, Long> deadNanos = new ConcurrentHashMap<>();
-    private final AtomicLong suspicions = new AtomicLong();
+    private final AtomicLong suspicionsOfPaused = new AtomicLong();
+    private final AtomicLong suspicionsOfRunning = new AtomicLong();
+    private final Map<String, Long> pausedUntil;
     private volatile long number;
-    private volatile long pausedUntilNanos;
+    private volatile long threadId;
     private Payload payload;
 
-    MeasuredNode(int index, MeasuredService service) {
+    /** The nodes share the times until which they are paused. */
+    MeasuredNode(int index, MeasuredService service, Map<String, Long> pausedUntil) {
+        this.pausedUntil = pausedUntil;
         this.name = "entry-" + index;
         this.service = service;
         int dataCentre = index % DATA_CENTRES;
@@ -71,6 +79,7 @@
     }
 
     void start(List<ListedVm> seeds) {
+        transport.execute(() -> threadId = Thread.currentThread().getId());
         membershipDriver.submit(new MembershipEvent.Listed(seeds));
         membershipDriver.start(TICK_NANOS);
         configurationDriver.start(TICK_NANOS);
@@ -98,10 +107,11 @@
 
     /** Blocks the node's thread, as when its host stalls. */
     void pause(long nanos) {
-        pausedUntilNanos = System.nanoTime() + nanos;
+        long until = System.nanoTime() + nanos;
+        pausedUntil.put(name, until);
         transport.execute(() -> {
-            while (System.nanoTime() < pausedUntilNanos) {
-                LockSupport.parkNanos(pausedUntilNanos - System.nanoTime());
+            while (System.nanoTime() < until) {
+                LockSupport.parkNanos(until - System.nanoTime());
             }
         });
     }
@@ -121,8 +131,17 @@
         return number;
     }
 
-    long suspicions() {
-        return suspicions.get();
+    long suspicionsOfPaused() {
+        return suspicionsOfPaused.get();
+    }
+
+    long suspicionsOfRunning() {
+        return suspicionsOfRunning.get();
+    }
+
+    /** Processor time of the node's own thread, in nanoseconds. */
+    long processorNanos() {
+        return ManagementFactory.getThreadMXBean().getThreadCpuTime(threadId);
     }
 
     int deaths() {
@@ -154,7 +173,8 @@
             return;
         }
         if (member.state() == MemberState.SUSPECT) {
-            suspicions.incrementAndGet();
+            boolean paused = System.nanoTime() < pausedUntil.getOrDefault(member.name(), 0L) + NEWS_NANOS;
+            (paused ? suspicionsOfPaused : suspicionsOfRunning).incrementAndGet();
             suspectedNanos.put(member.name(), System.nanoTime());
         } else if (member.state() == MemberState.DEAD) {
             deadNanos.put(member.name(), System.nanoTime());
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Membership.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Membership.java
@@ -121,12 +121,16 @@
      */
     public List<Member> members() {
         List<Member> members = new ArrayList<>(table.all().size() + 1);
-        Update own = self.update();
-        members.add(new Member(own.id(), own.address(), own.state(), own.payload(), own.payloadVersion(), startNanos));
+        members.add(own());
         members.addAll(table.all());
         return members;
     }
 
+    private Member own() {
+        Update own = self.update();
+        return new Member(own.id(), own.address(), own.state(), own.payload(), own.payloadVersion(), startNanos);
+    }
+
     private void noticePause(long nowNanos) {
         long gap = nowNanos - lastEventNanos;
         lastEventNanos = nowNanos;
@@ -303,6 +307,7 @@
     private void leave(MemberState state) {
         self.state(state);
         rumours.add(self.update());
+        out.add(new MembershipEffect.Changed(own(), false));
         spread(URGENT_FAN_OUT);
     }
 
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/MembershipEffect.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/MembershipEffect.java
@@ -17,7 +17,7 @@
     record Send(InetSocketAddress to, Path path, MembershipMessage message) implements MembershipEffect {}
 
     /**
-     * A member joined or changed its state, incarnation, address or payload.
+     * A member joined or changed its state, incarnation, address or payload; also this process when it leaves.
      *
      * @param member the member as seen from now on
      * @param payloadOnly whether nothing but the payload changed, which happens often
