Fresh connections replace the kept one without losing what is under way

A probe that loses one datagram opened a fresh connection and closed the kept one, with whatever other parts had sent on it. The kept one now stays until the new one is there and is read to its end. Heads of the configuration relay go by datagram, so that a change no longer opens a connection to a dozen peers.

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/configuration/ConfigurationDriver.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/configuration/ConfigurationDriver.java
@@ -93,7 +93,7 @@
     public void handle(RelayEvent event) {
         for (RelayEffect effect : relay.on(event, System.nanoTime())) {
             if (effect instanceof RelayEffect.SendTo send) {
-                transport.send(send.to(), CHANNEL, ConfigurationCodec.encode(send.message()));
+                send(send);
             } else {
                 listener.accept(effect);
             }
@@ -131,6 +131,19 @@
         return "";
     }
 
+    /**
+     * Heads go to random peers by datagram: they are small and sent in several rounds, and a connection to each of them
+     * would keep dozens open, with their heartbeats, where one a change is enough.
+     */
+    private void send(RelayEffect.SendTo send) {
+        byte[] body = ConfigurationCodec.encode(send.message());
+        if (send.message() instanceof ConfigurationMessage.Head) {
+            transport.sendDatagram(send.to(), CHANNEL, body);
+        } else {
+            transport.send(send.to(), CHANNEL, body);
+        }
+    }
+
     private void receive(PeerMessage message) {
         ConfigurationCodec.decode(message.body())
                 .ifPresent(decoded ->
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerConnection.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerConnection.java
@@ -26,6 +26,7 @@
     private final PeerTransport transport;
     private final TransportLimits limits;
     private final boolean outbound;
+    private final boolean fresh;
     private InetSocketAddress peer;
     private Channel channel;
     private ScheduledFuture<?> heartbeats;
@@ -35,9 +36,11 @@
     private long lastReadNanos;
     private long lastMessageNanos;
     private long unconfirmedSinceNanos;
+    private boolean retired;
 
     /** An outbound connection knows its peer; an inbound one learns the peer's port from the hello. */
-    PeerConnection(PeerTransport transport, InetSocketAddress peer) {
+    PeerConnection(PeerTransport transport, InetSocketAddress peer, boolean fresh) {
+        this.fresh = fresh;
         this.transport = transport;
         this.limits = transport.limits();
         this.peer = peer;
@@ -48,6 +51,11 @@
         return outbound;
     }
 
+    /** Whether this one replaces another that is doubted. */
+    boolean fresh() {
+        return fresh;
+    }
+
     boolean writable() {
         return channel.isWritable();
     }
@@ -67,11 +75,12 @@
         write(envelope);
     }
 
-    void close() {
-        channel.close();
+    /** Another connection is used from now on; this one is read for one more heartbeat's time, then closed. */
+    void retire() {
+        retired = true;
     }
 
-    void hello(boolean fresh) {
+    void hello() {
         Hello hello =
                 Hello.newBuilder().setPort(transport.port()).setFresh(fresh).build();
         write(transport.envelope(HELLO, hello.toByteString()));
@@ -151,7 +160,9 @@
 
     private void beat() {
         long now = transport.nanoTime();
-        if (silent(now)) {
+        if (retired) {
+            channel.close();
+        } else if (silent(now)) {
             transport.silent();
             channel.close();
         } else if (now - lastMessageNanos > limits.idleNanos()) {
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerLink.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerLink.java
@@ -20,7 +20,8 @@
     private PeerConnection current;
     private boolean connecting;
     private boolean waitingToRetry;
-    private boolean fresh;
+    private final Deque<Envelope> freshQueue = new ArrayDeque<>();
+    private boolean freshConnecting;
     private long backoffNanos;
 
     PeerLink(PeerTransport transport, InetSocketAddress peer) {
@@ -40,16 +41,19 @@
 
     /**
      * Sends on a new connection. A connection that has gone silent makes a healthy peer look dead; so the last word
-     * before a suspicion goes by a connection that nothing between the two ends can have forgotten.
+     * before a suspicion goes by a connection that nothing between the two ends can have forgotten. The kept connection
+     * stays until the new one is there, and is then read to its end: most doubts are unfounded, and what others have
+     * under way on it must not be lost for a single lost datagram.
      */
     void sendFresh(Envelope envelope) {
-        fresh = true;
-        PeerConnection old = current;
-        current = null;
-        if (old != null) {
-            old.close();
+        if (freshQueue.size() >= limits.queueMessages()) {
+            transport.counters().dropped(freshQueue.removeFirst().getChannel());
+        }
+        freshQueue.addLast(envelope);
+        if (!freshConnecting) {
+            freshConnecting = true;
+            transport.connect(peer, true);
         }
-        send(envelope);
     }
 
     void drain() {
@@ -64,10 +68,16 @@
     }
 
     void connected(PeerConnection connection) {
-        connecting = false;
         backoffNanos = limits.backoffNanos();
-        connection.hello(fresh);
-        fresh = false;
+        connection.hello();
+        if (connection.fresh()) {
+            freshConnecting = false;
+            while (!freshQueue.isEmpty()) {
+                connection.writeMessage(freshQueue.removeFirst());
+            }
+        } else {
+            connecting = false;
+        }
         replace(connection);
     }
 
@@ -82,7 +92,13 @@
     }
 
     /** The connection attempt failed: waits, and doubles the wait for the next time. */
-    void connectFailed() {
+    void connectFailed(boolean fresh) {
+        if (fresh) {
+            freshConnecting = false;
+            freshQueue.forEach(envelope -> transport.counters().dropped(envelope.getChannel()));
+            freshQueue.clear();
+            return;
+        }
         connecting = false;
         waitingToRetry = true;
         long wait = backoffNanos / 2 + transport.random().nextLong(backoffNanos / 2 + 1);
@@ -99,14 +115,14 @@
 
     /** Whether nothing would be lost by forgetting this link. */
     boolean idle() {
-        return current == null && queue.isEmpty() && !connecting && !waitingToRetry;
+        return current == null && queue.isEmpty() && !freshConnecting && !connecting && !waitingToRetry;
     }
 
     private void replace(PeerConnection connection) {
         PeerConnection old = current;
         current = connection;
         if (old != null && old != connection) {
-            old.close();
+            old.retire();
         }
         drain();
     }
@@ -116,7 +132,7 @@
             return;
         }
         connecting = true;
-        transport.connect(peer);
+        transport.connect(peer, false);
     }
 
     private void retry() {
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerSockets.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerSockets.java
@@ -61,7 +61,7 @@
                 .connect(peer);
         attempt.addListener(result -> {
             if (!result.isSuccess()) {
-                transport.link(peer).connectFailed();
+                transport.link(peer).connectFailed(connection.fresh());
             }
         });
     }
@@ -111,7 +111,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                PeerConnection end = outbound == null ? new PeerConnection(transport, null) : outbound;
+                PeerConnection end = outbound == null ? new PeerConnection(transport, null, false) : outbound;
                 channel.pipeline().addLast(new EnvelopeFrames(transport.limits().messageBytes()), end);
             }
         };
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerTransport.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerTransport.java
@@ -129,7 +129,7 @@
     }
 
     /**
-     * Sends by TCP on a new connection, which replaces the kept one.
+     * Sends by TCP on a new connection, which replaces the kept one once it is there. Without one it is dropped.
      *
      * @param to the peer port of the receiver
      * @param channel the receiver's channel
@@ -215,7 +215,10 @@
         return silences.get();
     }
 
-    /** Closes all sockets and ends the thread. Messages that wait are lost. */
+    /**
+     * Closes all sockets and ends the thread. Messages that wait are lost. Not to be called on the transport's own
+     * thread, for whose end it waits.
+     */
     @Override
     public void close() {
         group.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
@@ -258,8 +261,8 @@
         return links.computeIfAbsent(peer, address -> new PeerLink(this, address));
     }
 
-    void connect(InetSocketAddress peer) {
-        sockets.connect(peer, new PeerConnection(this, peer));
+    void connect(InetSocketAddress peer, boolean fresh) {
+        sockets.connect(peer, new PeerConnection(this, peer, fresh));
     }
 
     void opened(PeerConnection connection, InetSocketAddress peer) {
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/transport/PeerTransportTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/transport/PeerTransportTest.java
@@ -6,10 +6,13 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -156,6 +159,35 @@
         }
     }
 
+    /**
+     * A single lost datagram makes a daemon try a fresh connection to a peer that is well, while grants are under way on
+     * the kept one. If replacing it lost them, callers would wait for a timeout.
+     */
+    @Test
+    void messagesUnderWayOutliveTheReplacementOfTheirConnection() throws Exception {
+        PeerTransport a = transport("a", 0, TransportLimits.STANDARD);
+        PeerTransport b = transport("b", 0, TransportLimits.STANDARD);
+        int count = 3_000;
+        b.receive(CHANNEL, message -> b.send(message.from(), CHANNEL, message.body()));
+        a.receive(CHANNEL, received::add);
+        Set<Integer> expected = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+            byte[] body = ByteBuffer.allocate(500).putInt(i).array();
+            expected.add(i);
+            if (i % 500 == 250) {
+                a.sendFresh(b.address(), CHANNEL, body);
+            } else {
+                a.send(b.address(), CHANNEL, body);
+            }
+            int sent = i;
+            await(() -> sent - received.size() <= 200);
+        }
+        for (int i = 0; i < count; i++) {
+            assertThat(expected.remove(ByteBuffer.wrap(next().body()).getInt())).isTrue();
+        }
+        assertThat(expected).isEmpty();
+    }
+
     /** A daemon is restarted in place. Its peers must reach it again without being told. */
     @Test
     void restartedPeerIsReachedAgain() throws InterruptedException {
