Simplify the detection of silent connections; make two transport tests independent of free ports

A side that confirms nothing is found by what stays unconfirmed, whichever direction is cut; a second rule for reading caught nothing more. Two tests used a port that had just been freed, which another process on the machine could take; one of them failed so once under load.

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerConnection.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerConnection.java
@@ -15,8 +15,8 @@
 /**
  * One TCP connection. A middlebox that has lost track of a connection swallows its bytes without closing it: writes
  * still succeed and calls hang. Each side therefore sends heartbeats that carry how many envelopes it has read. A side
- * that reads nothing for a while, or whose own envelopes stay unconfirmed for a while, closes the connection; so a cut
- * in either direction alone is noticed too, and the next message opens a new connection.
+ * whose own envelopes stay unconfirmed for a while closes the connection, and the next message opens a new one. A cut
+ * in either direction alone is noticed too: either what is sent or its confirmation is lost.
  */
 final class PeerConnection extends SimpleChannelInboundHandler<Envelope> {
 
@@ -33,7 +33,6 @@
     private long sent;
     private long confirmed;
     private long received;
-    private long lastReadNanos;
     private long lastMessageNanos;
     private long unconfirmedSinceNanos;
     private boolean retired;
@@ -89,9 +88,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) throws Exception {
         channel = context.channel();
-        long now = transport.nanoTime();
-        lastReadNanos = now;
-        lastMessageNanos = now;
+        lastMessageNanos = transport.nanoTime();
         long period = limits.heartbeatNanos();
         heartbeats = context.executor().scheduleWithFixedDelay(this::beat, period, period, TimeUnit.NANOSECONDS);
         transport.opened(this, peer);
@@ -116,7 +113,6 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, Envelope envelope) throws Exception {
         received++;
-        lastReadNanos = transport.nanoTime();
         transport.counters().received(envelope.getChannel(), EnvelopeFrames.frameBytes(envelope));
         switch (envelope.getChannel()) {
             case HELLO -> greeted(Hello.parseFrom(envelope.getBody()));
@@ -145,7 +141,7 @@
         long count = Heartbeat.parseFrom(envelope.getBody()).getReceived();
         if (count > confirmed) {
             confirmed = count;
-            unconfirmedSinceNanos = lastReadNanos;
+            unconfirmedSinceNanos = transport.nanoTime();
         }
     }
 
@@ -154,7 +150,7 @@
             channel.close();
             return;
         }
-        lastMessageNanos = lastReadNanos;
+        lastMessageNanos = transport.nanoTime();
         transport.deliver(envelope, peer, false);
     }
 
@@ -173,9 +169,8 @@
         }
     }
 
+    /** Each side sends heartbeats, so that there is always something to confirm, whichever direction is cut. */
     private boolean silent(long now) {
-        boolean nothingRead = now - lastReadNanos > limits.silenceNanos();
-        boolean nothingConfirmed = sent > confirmed && now - unconfirmedSinceNanos > limits.silenceNanos();
-        return nothingRead || nothingConfirmed;
+        return sent > confirmed && now - unconfirmedSinceNanos > limits.silenceNanos();
     }
 }
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/transport/PeerTransportTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/transport/PeerTransportTest.java
@@ -5,6 +5,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -192,7 +193,7 @@
     @Test
     void restartedPeerIsReachedAgain() throws InterruptedException {
         PeerTransport a = transport("a", 0, TransportLimits.STANDARD);
-        PeerTransport first = receiver(0, TransportLimits.STANDARD);
+        PeerTransport first = receiver(portOutsideOfTheEphemeralRange(), TransportLimits.STANDARD);
         a.send(first.address(), CHANNEL, new byte[] {1});
         next();
         first.close();
@@ -208,15 +209,17 @@
     @Test
     void messagesForAnUnreachablePeerAreBounded() throws IOException {
         PeerTransport a = transport("a", 0, TransportLimits.STANDARD);
-        PeerTransport gone = transport("gone", 0, TransportLimits.STANDARD);
-        InetSocketAddress nobody = gone.address();
-        gone.close();
         int bound = TransportLimits.STANDARD.queueMessages();
-        for (int i = 0; i < bound + 100; i++) {
-            a.send(nobody, CHANNEL, new byte[100]);
+        try (Socket boundOnly = new Socket()) {
+            boundOnly.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            InetSocketAddress nobody = (InetSocketAddress) boundOnly.getLocalSocketAddress();
+            for (int i = 0; i < bound + 100; i++) {
+                a.send(nobody, CHANNEL, new byte[100]);
+            }
+            await(() ->
+                    a.counts().containsKey(CHANNEL) && a.counts().get(CHANNEL).dropped() >= 100);
+            assertThat(a.counts().get(CHANNEL).sentMessages()).isZero();
         }
-        await(() -> a.counts().containsKey(CHANNEL) && a.counts().get(CHANNEL).dropped() >= 100);
-        assertThat(a.counts().get(CHANNEL).sentMessages()).isZero();
     }
 
     private PeerTransport receiver(int port, TransportLimits limits) {
@@ -237,6 +240,19 @@
         return transport;
     }
 
+    /** A port that is taken again later must not be one that the system may hand to another process in between. */
+    private static int portOutsideOfTheEphemeralRange() {
+        Random random = new Random();
+        while (true) {
+            int port = 20_000 + random.nextInt(10_000);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return probe.getLocalPort();
+            } catch (IOException e) {
+                continue;
+            }
+        }
+    }
+
     private PeerMessage next() throws InterruptedException {
         PeerMessage message = received.poll(BOUND_SECONDS, TimeUnit.SECONDS);
         assertThat(message).isNotNull();
