--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/MembershipBuilder.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/MembershipBuilder.java
@@ -9,6 +9,8 @@
 /** Describes a {@link Membership}. Identity, address, payload and random source must be given. */
 public final class MembershipBuilder {
 
+    private static final int MAX_SELF_BYTES = 350;
+
     MemberId self;
     InetSocketAddress address;
     Payload payload;
@@ -79,12 +81,17 @@
      * @param nowNanos the present time on the monotonic clock
      * @return the machine
      * @throws NullPointerException when a needed part is missing
+     * @throws IllegalArgumentException when name and payload are too long to go with each message in a datagram
      */
     public Membership build(long nowNanos) {
         Objects.requireNonNull(self, "self");
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(payload, "payload");
         Objects.requireNonNull(random, "random");
+        int size = UpdateSize.of(new Update(self, address, MemberState.ALIVE, payload, 0));
+        if (size > MAX_SELF_BYTES) {
+            throw new IllegalArgumentException("name and payload take " + size + " bytes, limit " + MAX_SELF_BYTES);
+        }
         return new Membership(this, nowNanos);
     }
 }
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Outbox.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Outbox.java
@@ -12,7 +12,7 @@
 
     private static final int MAX_RUMOURS = 6;
     private static final int MAX_REFRESHED = 2;
-    private static final int MAX_UPDATE_BYTES = 1_000;
+    private static final int MAX_UPDATE_BYTES = 900;
 
     private final SelfRecord self;
     private final MemberTable table;
@@ -43,10 +43,12 @@
     void send(InetSocketAddress to, Path path, Body body, String receiver) {
         List<Update> updates = new ArrayList<>();
         Member doubted = receiver == null ? null : table.member(receiver);
+        int budget = MAX_UPDATE_BYTES;
         if (doubted != null && doubted.state().compareTo(MemberState.SUSPECT) >= 0) {
             updates.add(doubted.update());
+            budget -= UpdateSize.of(doubted.update());
         }
-        updates.addAll(rumours.take(MAX_RUMOURS, MAX_UPDATE_BYTES, table.livingCount() + 1));
+        updates.addAll(rumours.take(MAX_RUMOURS, budget, table.livingCount() + 1));
         refresh(updates);
         effects.add(new MembershipEffect.Send(to, path, new MembershipMessage(body, self.update(), updates)));
     }
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/Fleet.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/Fleet.java
@@ -25,12 +25,20 @@
     final List<Death> deaths = new ArrayList<>();
     final List<MembershipEffect.PauseNoticed> pauses = new ArrayList<>();
     final List<MembershipEffect.Superseded> superseded = new ArrayList<>();
+    int largestDatagram;
+    long datagramBytes;
     private final Map<Integer, Long> nextTick = new HashMap<>();
     private final MembershipSettings settings;
+    private final String callersAddress;
     private final Random random;
     private List<ListedVm> list = List.of();
 
     Fleet(int size, long seed, MembershipSettings settings) {
+        this(size, seed, settings, "10.0.0.1:8080");
+    }
+
+    Fleet(int size, long seed, MembershipSettings settings, String callersAddress) {
+        this.callersAddress = callersAddress;
         this.settings = settings;
         this.random = new Random(seed);
         this.wire = new Wire<>(seed);
@@ -60,7 +68,7 @@
         Membership membership = Membership.builder()
                 .self(new MemberId(name, incarnation))
                 .address(Wire.address(node))
-                .payload(new Payload("", "dc-" + node % 3, "muscat", 0, 0, 0))
+                .payload(new Payload(callersAddress, "dc-" + node % 3, "muscat", 0, 0, 0))
                 .random(new Random(random.nextLong()))
                 .settings(settings)
                 .build(wire.now());
@@ -130,6 +138,10 @@
         for (MembershipEffect effect : effects) {
             if (effect instanceof MembershipEffect.Send send) {
                 Packet packet = new Packet(send.path(), MembershipCodec.encode(send.message()));
+                if (send.path() == Path.DATAGRAM) {
+                    largestDatagram = Math.max(largestDatagram, packet.bytes.length);
+                    datagramBytes += packet.bytes.length;
+                }
                 wire.send(node, Wire.node(send.to()), packet, send.path() != Path.DATAGRAM);
             } else if (effect instanceof MembershipEffect.Changed changed) {
                 note(node, changed.member());
