--- /dev/null
+++ b/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/cells/LocalShareTest.java
@@ -0,0 +1,42 @@
+package org.dotterelcourse.daemon.cells;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.dotterelcourse.policy.cell.WorkerInfo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LocalShareTest {
+    @Property(seed = "20261202", tries = 200)
+    void theSharesOfAllDaemonsAreTheCapacity(
+            @ForAll @IntRange(min = 1, max = 40) int daemons,
+            @ForAll @IntRange(min = 1, max = 13) int workers,
+            @ForAll @IntRange(min = 1, max = 33) int concurrency) {
+        // A partition leaves every daemon without an owner. If their shares were more than the cell can run, its
+        // engines
+        // would be given more than they answer in time; if less, callers would be refused beside idle engines.
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < daemons; i++) {
+            names.add("entry-" + i);
+        }
+        List<WorkerInfo> infos = new ArrayList<>();
+        for (int i = 0; i < workers; i++) {
+            infos.add(new WorkerInfo("llm-" + i, "ruwi-hall", concurrency, false));
+        }
+        Map<String, Integer> dealt = new HashMap<>();
+        for (String name : names) {
+            LocalShare.of(infos, name, names)
+                    .forEach(worker -> dealt.merge(worker.name(), worker.concurrency(), Integer::sum));
+        }
+
+        assertThat(dealt)
+                .hasSize(workers)
+                .allSatisfy((worker, slots) -> assertThat(slots).isEqualTo(concurrency));
+    }
+}
