--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Contender.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Contender.java
@@ -25,6 +25,10 @@
 
     static final Contender WHOLE = new Contender("whole policy", seed -> tiered(settings()));
 
+    /** What a hot prefix does to its worker when affinity knows no bound. */
+    static final Contender STICKY = new Contender(
+            "prefix affinity without bound", seed -> tiered(settings().affinitySlack(1e9)));
+
     static List<Contender> baselines() {
         return List.of(
                 new Contender("FIFO, random worker", seed -> new FifoScheduler(MAX_WAITING, new Random(seed))),
--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Job.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Job.java
@@ -6,6 +6,9 @@
     final long grant;
     final int resumedFrom;
     final long sentNanos;
+    /** Time that its prompt still takes to read; -1 before the first chunk. */
+    long prefillNanos = -1;
+
     int tokens;
     long firstTokenNanos = -1;
     boolean cancelled;
--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Main.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Main.java
@@ -28,12 +28,13 @@
     private static void print(PrintStream out, String name, Pattern pattern) {
         out.printf("%n## %s%n%n%s.%n%n", name, pattern.meaning());
         out.println(
-                "| scheduler | attained: eligibility | coupon | drafts | summaries | goodput, tokens/s | wasted tokens"
-                        + " | read again | longest wait, s | shed by tier | failed | lowest class's share | preempted |");
-        out.println("| --- | --: | --: | --: | --: | --: | --: | --: | --- | --- | --: | --: | --: |");
+                "| scheduler | attained: eligibility | coupon | drafts | summaries | coupon, other customers | goodput, tokens/s | wasted tokens"
+                        + " | prompt tokens read, millions | read again | longest wait, s | shed by tier | failed | lowest class's share | preempted |");
+        out.println("| --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | --- | --- | --: | --: | --: |");
         List<Contender> contenders = new ArrayList<>(Contender.baselines());
         contenders.add(Contender.WHOLE);
         contenders.addAll(Contender.ablations());
+        contenders.add(Contender.STICKY);
         for (Contender contender : contenders) {
             row(out, contender, Experiment.run(pattern, contender));
         }
@@ -42,11 +43,13 @@
     private static void row(PrintStream out, Contender contender, Outcome outcome) {
         out.printf(
                 Locale.ROOT,
-                "| %s | %s | %.0f | %.0f | %.0f | %s | %s | %.1f | %.1f %% | %.0f |%n",
+                "| %s | %s | %.1f %% | %.0f | %.0f | %.1f | %.0f | %s | %s | %.1f | %.1f %% | %.0f |%n",
                 contender.name(),
                 join(outcome.attainment(), "%.1f %%", 100, " | "),
+                100 * outcome.othersAttainment(),
                 outcome.goodput(),
                 outcome.wasted(),
+                outcome.promptRead() / 1e6,
                 outcome.readAgain(),
                 join(outcome.longestWaitSeconds(), "%.1f", 1, " / "),
                 join(outcome.shed(), "%.0f", 1, " / "),
--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Outcome.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Outcome.java
@@ -9,11 +9,13 @@
  * What callers received in one trial, or on average in several.
  *
  * @param attainment per class, the fraction of offered requests that met their target
+ * @param othersAttainment the same of class coupon for all customers but the hot one
  * @param longestWaitSeconds per class, the longest wait for a first token
  * @param shed per tier, requests refused
  * @param failed requests given up after they were sent
  * @param goodput output tokens a second of answers that met their target
  * @param wasted output tokens that were of no use
+ * @param promptRead prompt tokens read
  * @param readAgain tokens read a second time
  * @param held output tokens that a crashed worker held
  * @param retries requests sent again after a failure
@@ -22,11 +24,13 @@
  */
 record Outcome(
         double[] attainment,
+        double othersAttainment,
         double[] longestWaitSeconds,
         double[] shed,
         double failed,
         double goodput,
         double wasted,
+        double promptRead,
         double readAgain,
         double held,
         double retries,
@@ -40,6 +44,8 @@
         double[] shed = new double[count];
         double failed = 0;
         double useful = 0;
+        double others = 0;
+        double othersAttained = 0;
         for (Call call : trial.calls) {
             int index = call.ask.terms().tier() - ClassTerms.HIGHEST_TIER;
             offered[index]++;
@@ -48,6 +54,10 @@
             if (call.firstTokenNanos >= 0) {
                 longest[index] = Math.max(longest[index], (double) call.waitNanos() / Workload.SECOND);
             }
+            if (isOfOthers(call)) {
+                others++;
+                othersAttained += call.attained() ? 1 : 0;
+            }
             if (call.attained()) {
                 attained[index]++;
                 useful += call.totalTokens;
@@ -59,11 +69,15 @@
         Tally tally = trial.tally;
         return new Outcome(
                 attained,
+                othersAttained / Math.max(1, others),
                 longest,
                 shed,
                 failed,
                 useful / Pattern.SECONDS,
                 tally.wasted,
+                trial.workers.values().stream()
+                        .mapToDouble(worker -> worker.promptTokensRead)
+                        .sum(),
                 tally.readAgain,
                 tally.heldByCrashed,
                 tally.retries,
@@ -78,11 +92,13 @@
         }
         return new Outcome(
                 columns(all.stream().map(Outcome::attainment).toList()),
+                columns(rows)[8],
                 columns(all.stream().map(Outcome::longestWaitSeconds).toList()),
                 columns(all.stream().map(Outcome::shed).toList()),
                 columns(rows)[0],
                 columns(rows)[1],
                 columns(rows)[2],
+                columns(rows)[9],
                 columns(rows)[3],
                 columns(rows)[4],
                 columns(rows)[5],
@@ -90,8 +106,15 @@
                 columns(rows)[7]);
     }
 
+    private static boolean isOfOthers(Call call) {
+        boolean isCoupon = call.ask.terms().name().equals("coupon");
+        return isCoupon && !call.ask.customer().equals(Pattern.HOT);
+    }
+
     private double[] figures() {
-        return new double[] {failed, goodput, wasted, readAgain, held, retries, preemptions, lowestShare};
+        return new double[] {
+            failed, goodput, wasted, readAgain, held, retries, preemptions, lowestShare, othersAttainment, promptRead
+        };
     }
 
     private static double[] columns(List<double[]> rows) {
--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Pattern.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Pattern.java
@@ -15,6 +15,13 @@
             load.one(Workload.CLASSES.get(3).times(1.4 / 0.35), 30, 90, null);
         }
     },
+    RUSH_ON_FULL("the workers are full of summaries when eligibility checks come, from 40 s on, half the capacity") {
+        @Override
+        void prepare(Trial trial, Workload load) {
+            load.one(Workload.CLASSES.get(3).times(1.2 / 0.35), 0, SECONDS, null);
+            load.one(Workload.CLASSES.get(0).times(0.5 / 0.2), 40, SECONDS, null);
+        }
+    },
     TELLER_RUSH("a rush of eligibility checks, from 30 s to 90 s, to one and a half times the capacity") {
         @Override
         void prepare(Trial trial, Workload load) {
@@ -26,20 +33,23 @@
         @Override
         void prepare(Trial trial, Workload load) {
             load.all(0.6, 0, SECONDS);
-            load.one(Workload.CLASSES.get(1).times(1.4 / 0.2), 30, 90, "customer-9");
+            load.one(Workload.CLASSES.get(1).times(1.4 / 0.2), 30, 90, HOT);
         }
     },
-    HOT_PREFIX("six tenths of all prompts begin alike, at 0.85 of the capacity") {
+    HOT_PREFIX("six tenths of all prompts begin alike, and all are twice as long, at 0.9 of the capacity") {
         @Override
         void prepare(Trial trial, Workload load) {
-            load.hotPrefix(0.6).all(0.85, 0, SECONDS);
+            load.hotPrefix(0.6).longPrompts(2).all(0.9, 0, SECONDS);
         }
     },
-    SLOW_WORKER("one worker is five times slower from 30 s on, at 0.75 of the capacity") {
+    SLOW_WORKER("from 30 s on one worker is five times slower and one twice, at 0.75 of the capacity") {
         @Override
         void prepare(Trial trial, Workload load) {
             load.all(0.75, 0, SECONDS);
-            trial.at(30 * Workload.SECOND, () -> trial.worker(1).slowness = 5);
+            trial.at(30 * Workload.SECOND, () -> {
+                trial.worker(1).slowness = 5;
+                trial.worker(2).slowness = 2;
+            });
         }
     },
     LONG_AMONG_SHORT("one customer's drafts are ten times as long, at 0.95 of the capacity") {
@@ -48,7 +58,7 @@
             load.all(0.6, 0, SECONDS);
             ClassLoad drafts = Workload.CLASSES.get(2);
             double perSecond = 0.35 * Workload.CAPACITY / LONG_TOKENS;
-            load.one(new ClassLoad(drafts.terms(), perSecond, LONG_TOKENS, 0.2, 1_500, 0), 0, SECONDS, "customer-9");
+            load.one(new ClassLoad(drafts.terms(), perSecond, LONG_TOKENS, 0.2, 1_500, 0), 0, SECONDS, HOT);
         }
     },
     OVERLOAD("twice the capacity throughout") {
@@ -81,6 +91,9 @@
         }
     };
 
+    /** The customer that is hot, or sends long jobs. */
+    static final String HOT = "customer-9";
+
     static final int SECONDS = 120;
     private static final int LONG_TOKENS = 1_400;
     private static final int WORKERS_SHARED = 4;
--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Trial.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Trial.java
@@ -166,7 +166,7 @@
 
     private void admit(FakeWorker worker) {
         while (worker.hasRoom() && !worker.waiting.isEmpty()) {
-            worker.prefilling.addLast(worker.waiting.remove());
+            worker.prefilling.add(worker.waiting.remove());
         }
         prefill(worker);
     }
@@ -176,17 +176,20 @@
             return;
         }
         worker.isReading = true;
-        Job job = worker.prefilling.peekFirst();
+        Job job = worker.prefilling.peek();
         long life = worker.life;
-        if (job.resumedFrom > 0 || job.call.attempts > 1) {
-            tally.readAgain += job.call.ask.inputTokens() + job.resumedFrom;
+        if (job.prefillNanos < 0) {
+            job.prefillNanos = worker.prefillNanos(job);
+            tally.readAgain += job.call.attempts > 1 ? job.call.ask.inputTokens() + job.resumedFrom : 0;
         }
-        at(nowNanos + worker.prefillNanos(job), () -> {
+        long chunk = Math.min(job.prefillNanos, FakeWorker.CHUNK_NANOS);
+        at(nowNanos + chunk, () -> {
             if (worker.life != life) {
                 return;
             }
             worker.isReading = false;
-            if (!job.cancelled) {
+            job.prefillNanos -= chunk;
+            if (!job.cancelled && job.prefillNanos <= 0) {
                 worker.prefilling.remove(job);
                 worker.decoding.add(job);
             }
--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Workload.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Workload.java
@@ -17,16 +17,17 @@
             WORKERS * FakeWorker.BATCH_LIMIT / (FakeWorker.STEP_NANOS * (1 + FakeWorker.STEP_GROWTH) / 1e9);
 
     static final List<ClassLoad> CLASSES = List.of(
-            load(terms("eligibility", 1, 0.20, true, 1, 100, 200), 0.20, 40, 0.3, 400, 0),
-            load(terms("coupon", 2, 0.15, false, 3, 100, 600), 0.20, 120, 0.5, 600, 0),
-            load(terms("drafts", 3, 0.10, false, 10, 120, 1_500), 0.25, 300, 0.6, 1_500, 0.2),
-            load(terms("summaries", 4, 0.10, false, 60, 200, 4_000), 0.35, 1_200, 0.6, 4_000, 0));
+            load(terms("eligibility", 1, 0.20, true, 1, 100, 200), 0.20, 40, 0.3, 800, 0),
+            load(terms("coupon", 2, 0.15, false, 3, 100, 600), 0.20, 120, 0.5, 2_000, 0),
+            load(terms("drafts", 3, 0.10, false, 10, 120, 1_500), 0.25, 300, 0.6, 4_000, 0.2),
+            load(terms("summaries", 4, 0.10, false, 60, 200, 4_000), 0.35, 1_200, 0.6, 8_000, 0));
 
     private static final double[] CUSTOMER_WEIGHTS = {30, 20, 10, 6, 6, 6, 6, 6, 5, 5};
 
     private final Trial trial;
     private final Random random;
     private double hotPrefixFraction;
+    private int promptFactor = 1;
     private int lastId;
 
     Workload(Trial trial, long seed) {
@@ -39,6 +40,11 @@
         return this;
     }
 
+    Workload longPrompts(int factor) {
+        promptFactor = factor;
+        return this;
+    }
+
     /** Adds all classes at a fraction of the capacity. */
     void all(double load, double fromSeconds, double toSeconds) {
         for (ClassLoad each : CLASSES) {
@@ -68,7 +74,7 @@
                 load.terms(),
                 customer,
                 arrivalNanos,
-                load.inputTokens(),
+                promptFactor * load.inputTokens(),
                 prefix,
                 idempotent,
                 0,
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/admission/Admission.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/admission/Admission.java
@@ -8,11 +8,12 @@
     /**
      * Learns from a request that has left a worker.
      *
+     * @param ask the request
      * @param work the work it was, in output tokens
      * @param completion what was seen
      * @param nowNanos the time
      */
-    void observe(double work, Completion completion, long nowNanos);
+    void observe(Ask ask, double work, Completion completion, long nowNanos);
 
     /**
      * Whether a request would come too late, and is useless late.
@@ -44,10 +45,10 @@
     long retryAfterNanos(double workAhead, int slots);
 
     /**
-     * How long a request takes from sending to its first token.
+     * When a request must be granted at the latest to meet its target.
      *
      * @param ask the request
-     * @return nanoseconds; 0 while nothing is known, and never more than half of the class's target
+     * @return nanoseconds; {@link Long#MAX_VALUE} for an answer that has begun, which nothing makes late
      */
-    long firstTokenNanos(Ask ask);
+    long startByNanos(Ask ask);
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/admission/DrainRateAdmission.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/admission/DrainRateAdmission.java
@@ -1,5 +1,8 @@
 package org.dotterelcourse.policy.admission;
 
+import java.util.HashMap;
+import java.util.Map;
+
 import org.dotterelcourse.policy.cell.Ask;
 import org.dotterelcourse.policy.cell.Completion;
 
@@ -16,18 +19,20 @@
 public final class DrainRateAdmission implements Admission {
     private static final int FEWEST_SEEN = 16;
     private static final double KEPT = Math.pow(0.5, 1.0 / 64);
-    private static final double FIRST_TOKEN_WEIGHT = 0.05;
+    /** A worker's own time may be taken to use so much of a target: else a bad spell would refuse a class for good. */
+    private static final double MOST_OF_TARGET = 0.75;
+
     private static final long SHORTEST_RETRY_NANOS = 250_000_000L;
     private static final long LONGEST_RETRY_NANOS = 60_000_000_000L;
     private static final long UNKNOWN_RETRY_NANOS = 1_000_000_000L;
 
+    private final Map<String, FirstTokenTime> firstTokens = new HashMap<>();
     private double workDone;
     private double slotNanos;
-    private double firstTokenNanos;
     private int seen;
 
     @Override
-    public void observe(double work, Completion completion, long nowNanos) {
+    public void observe(Ask ask, double work, Completion completion, long nowNanos) {
         if (completion.outputTokens() == 0 || completion.durationNanos() <= 0) {
             return;
         }
@@ -35,8 +40,9 @@
         workDone = workDone * KEPT + work;
         slotNanos = slotNanos * KEPT + completion.durationNanos();
         if (completion.firstTokenNanos() >= 0) {
-            double weight = firstTokenNanos == 0 ? 1 : FIRST_TOKEN_WEIGHT;
-            firstTokenNanos += weight * (completion.firstTokenNanos() - firstTokenNanos);
+            firstTokens
+                    .computeIfAbsent(ask.terms().name(), name -> new FirstTokenTime())
+                    .add(completion.firstTokenNanos());
         }
     }
 
@@ -46,7 +52,7 @@
             return false;
         }
         long startNanos = nowNanos + drainNanos(workAhead, slots);
-        return startNanos + firstTokenNanos(ask) > ask.dueNanos();
+        return startNanos > startByNanos(ask);
     }
 
     @Override
@@ -67,7 +73,13 @@
     }
 
     @Override
-    public long firstTokenNanos(Ask ask) {
-        return Math.min((long) firstTokenNanos, ask.terms().targetNanos() / 2);
+    public long startByNanos(Ask ask) {
+        if (ask.resumedTokens() > 0) {
+            return Long.MAX_VALUE;
+        }
+        FirstTokenTime time = firstTokens.get(ask.terms().name());
+        double needed = time == null ? 0 : time.usuallyWithin();
+        double most = MOST_OF_TARGET * ask.terms().targetNanos();
+        return ask.dueNanos() - (long) Math.min(needed, most);
     }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/Mechanism.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/Mechanism.java
@@ -8,6 +8,8 @@
     MINIMUM_SHARE,
     /** Customers of a class share it by deficit round robin, and the one with most waiting is shed first. */
     CUSTOMER_FAIRNESS,
+    /** What has missed its target steps behind what can still meet it. */
+    LATE_LAST,
     /** What can't meet its target, and is useless late, is refused before it costs anything. */
     EARLY_REFUSAL,
     /** Lengths of answers are learned from those seen. */
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
@@ -82,9 +82,9 @@
         queue.add(waiting);
         List<CellEffect> effects = new ArrayList<>();
         serve(effects, nowNanos);
-        Optional<Waiting> overClass = queue.shedFromClass(ask.terms().name());
+        Optional<Waiting> overClass = queue.shedFromClass(ask.terms().name(), nowNanos);
         overClass.ifPresent(shed -> effects.add(refuse(shed, RefusalReason.CLASS_FULL)));
-        Optional<Waiting> overCell = queue.shed();
+        Optional<Waiting> overCell = queue.shed(nowNanos);
         overCell.ifPresent(shed -> effects.add(refuse(shed, RefusalReason.CELL_FULL)));
         preempt(effects, nowNanos);
         return effects;
@@ -160,7 +160,7 @@
         refuseExpired(effects, nowNanos);
         while (queue.size() > 0 && placement.hasRoom(nowNanos)) {
             Optional<WaitingQueue.Taken<String>> taken =
-                    queue.next(waiting -> placement.place(candidate(waiting), nowNanos));
+                    queue.next(waiting -> placement.place(candidate(waiting), nowNanos), nowNanos);
             if (taken.isEmpty()) {
                 return;
             }
@@ -185,7 +185,7 @@
         if (tooSoon || !settings.uses(Mechanism.PREEMPTION) || queue.size() == 0) {
             return;
         }
-        Waiting urgent = queue.mostUrgent().orElseThrow();
+        Waiting urgent = queue.mostUrgent(nowNanos).orElseThrow();
         if (!wouldMiss(urgent, nowNanos)) {
             return;
         }
@@ -205,21 +205,23 @@
     /** Whether waiting for a slot would take a request past its target: by its own place, or by the length of its tier. */
     private boolean wouldMiss(Waiting urgent, long nowNanos) {
         Ask ask = urgent.ask();
+        if (urgent.isLate(nowNanos)) {
+            return false;
+        }
         long nextSlotNanos = admission.drainNanos(urgent.work(), placement.slots());
-        long tierNanos = admission.drainNanos(queue.workAhead(urgent), placement.slots());
-        long firstTokenNanos = admission.firstTokenNanos(ask);
         long leastLeft = (long) (LEAST_TARGET_LEFT * ask.terms().targetNanos());
-        long neededNanos = Math.max(leastLeft, nextSlotNanos + firstTokenNanos);
-        boolean headMisses = nowNanos + neededNanos > ask.dueNanos();
-        boolean tierMisses = tierNanos + firstTokenNanos > ask.terms().targetNanos();
+        boolean headMisses = nowNanos + Math.max(leastLeft, nextSlotNanos) > urgent.startByNanos();
+        long tierNanos = admission.drainNanos(queue.workAhead(urgent), placement.slots());
+        long patienceNanos = urgent.startByNanos() - ask.arrivalNanos();
+        boolean tierMisses = ask.terms().lateIsUseless() && tierNanos > patienceNanos;
         return headMisses || tierMisses;
     }
 
     private boolean isTooLate(Ask ask, double workAhead, long nowNanos) {
-        if (!settings.uses(Mechanism.EARLY_REFUSAL) || !ask.terms().lateIsUseless()) {
+        if (!settings.uses(Mechanism.EARLY_REFUSAL) || !ask.terms().lateIsUseless() || ask.resumedTokens() > 0) {
             return false;
         }
-        boolean isPast = ask.dueNanos() <= nowNanos;
+        boolean isPast = admission.startByNanos(ask) <= nowNanos;
         boolean hasRoom = queue.size() == 0 && placement.hasRoom(nowNanos);
         return isPast || !hasRoom && admission.tooLate(ask, workAhead, placement.slots(), nowNanos);
     }
@@ -245,7 +247,7 @@
         queue.settle(ask.terms().name(), charged, actual);
         if (completion.end() == Completion.End.ANSWERED) {
             estimator.observe(ask.terms(), ask.customer(), ask.resumedTokens() + completion.outputTokens());
-            admission.observe(actual, completion, nowNanos);
+            admission.observe(ask, actual, completion, nowNanos);
         }
     }
 
@@ -260,7 +262,7 @@
     private Waiting waiting(Ask ask) {
         lastSequence++;
         double output = estimator.remaining(ask.terms(), ask.customer(), ask.resumedTokens());
-        return new Waiting(ask, prefillWork(ask) + output, output, lastSequence);
+        return new Waiting(ask, prefillWork(ask) + output, output, admission.startByNanos(ask), lastSequence);
     }
 
     private Candidate candidate(Waiting waiting) {
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/preemption/ResumablePreemption.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/preemption/ResumablePreemption.java
@@ -15,12 +15,10 @@
  * <p>Answers a rush of an urgent class while every slot holds a long summary. Without it the first of the rush wait for
  * the summaries to end. Never chosen are requests of the same or a higher tier, such as can't run twice or can't be
  * resumed, such as run on their class's minimum share, such as were resumed
- * and have got no further, and such as would soon end: what is left must be at least
- * {@value #GAIN} times what reading prompt and tokens again costs.
+ * and have got no further, and such as would soon end: what is left must be more than
+ * what reading prompt and tokens again costs.
  */
 public final class ResumablePreemption implements Preemption {
-    private static final double GAIN = 4;
-
     private final CellSettings settings;
     private final OutputEstimator estimator;
     private final Placement placement;
@@ -72,7 +70,7 @@
         Ask ask = candidate.ask();
         double left = estimator.remaining(ask.terms(), ask.customer(), candidate.tokens());
         double again = settings.prefillWeight() * (ask.inputTokens() + candidate.tokens());
-        return left - GAIN * again;
+        return left - again;
     }
 
     private static int tier(Running running) {
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/ClassQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/ClassQueue.java
@@ -7,7 +7,9 @@
 import java.util.TreeSet;
 import java.util.function.Function;
 
+import org.dotterelcourse.policy.cell.CellSettings;
 import org.dotterelcourse.policy.cell.ClassTerms;
+import org.dotterelcourse.policy.cell.Mechanism;
 
 /**
  * The waiting requests of one class. Customers take turns by deficit round robin (Shreedhar and Varghese, 1995),
@@ -28,6 +30,7 @@
 
     private final String name;
     private final boolean customersShare;
+    private final boolean lateLast;
     /** In the order of their turns. */
     private final Map<String, CustomerQueue> customers = new LinkedHashMap<>();
 
@@ -38,10 +41,11 @@
     private double work;
     private int size;
 
-    ClassQueue(ClassTerms terms, boolean customersShare) {
+    ClassQueue(ClassTerms terms, CellSettings settings) {
         this.name = terms.name();
         this.terms = terms;
-        this.customersShare = customersShare;
+        this.customersShare = settings.uses(Mechanism.CUSTOMER_FAIRNESS);
+        this.lateLast = settings.uses(Mechanism.LATE_LAST);
     }
 
     String name() {
@@ -74,7 +78,7 @@
         quantum = Math.max(quantum * QUANTUM_DECAY, waiting.work());
         CustomerQueue queue = customers.get(key(waiting));
         if (queue == null) {
-            queue = new CustomerQueue(key(waiting));
+            queue = new CustomerQueue(key(waiting), lateLast);
             customers.put(queue.customer(), queue);
         } else {
             bySize.remove(queue);
@@ -99,14 +103,14 @@
     }
 
     /** Takes out the next request of this class for which there is a place. */
-    <P> Optional<WaitingQueue.Taken<P>> next(Function<Waiting, Optional<P>> placer, boolean owed) {
+    <P> Optional<WaitingQueue.Taken<P>> next(Function<Waiting, Optional<P>> placer, boolean owed, long nowNanos) {
         int tries = Math.min(MAX_HEADS_TRIED, customers.size());
         for (int i = 0; i < tries; i++) {
             CustomerQueue queue = first();
-            Waiting head = queue.first();
+            Waiting head = queue.first(nowNanos);
             Optional<P> place = placer.apply(head);
             if (place.isPresent()) {
-                serve(queue, head);
+                serve(queue, head, nowNanos);
                 return Optional.of(new WaitingQueue.Taken<>(head, place.get(), owed));
             }
             endTurn(queue);
@@ -114,13 +118,13 @@
         return Optional.empty();
     }
 
-    Waiting head() {
-        return first().first();
+    Waiting head(long nowNanos) {
+        return first().first(nowNanos);
     }
 
     /** The newest request of the customer who has most waiting, so that a flood pushes out its own. */
-    Waiting newestOfLongest() {
-        return bySize.last().newest();
+    Waiting newestOfLongest(long nowNanos) {
+        return bySize.last().newest(nowNanos);
     }
 
     /** The work of this class that is served before a new request of the customer. */
@@ -131,13 +135,14 @@
         return Math.min(work, (own + waiting.work()) * turns - waiting.work());
     }
 
-    private void serve(CustomerQueue queue, Waiting head) {
+    private void serve(CustomerQueue queue, Waiting head, long nowNanos) {
+        queue.served();
         if (queue.deficit() < head.work()) {
             queue.addDeficit(Math.max(quantum, head.work()));
         }
         queue.addDeficit(-head.work());
         remove(head);
-        if (queue.size() > 0 && queue.deficit() < queue.first().work()) {
+        if (queue.size() > 0 && queue.deficit() < queue.first(nowNanos).work()) {
             endTurn(queue);
         }
     }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/CustomerQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/CustomerQueue.java
@@ -4,22 +4,33 @@
 import java.util.TreeSet;
 
 /**
- * The waiting requests of one customer in one class, earliest deadline first. Within a class the target is the same for
- * all, so that the earliest deadline is also the oldest arrival: a retry, which keeps its arrival, goes back to its
- * place, and the last one is the newest.
+ * The waiting requests of one customer in one class, earliest deadline first among those that can still meet their target.
+ *
+ * <p>Answers sustained overload. Earliest deadline first alone then serves only what has just become late, and nobody's
+ * target is met. So what is late steps behind, and is served in every {@value #LATE_TURN}th turn, the oldest first, so that
+ * it ends too. A retry keeps its arrival and so its place.
+ *
+ * <p>The one to shed is the newest; where late ones hold more than half of the customer's places it is the newest of
+ * these, else requests that have missed their target would keep out all that could meet theirs.
  */
 final class CustomerQueue {
+    private static final int LATE_TURN = 4;
+
     private static final Comparator<Waiting> EARLIEST_DEADLINE = Comparator.comparingLong(
                     (Waiting waiting) -> waiting.ask().dueNanos())
             .thenComparingLong(Waiting::sequence);
 
     private final String customer;
-    private final TreeSet<Waiting> entries = new TreeSet<>(EARLIEST_DEADLINE);
+    private final boolean lateLast;
+    private final TreeSet<Waiting> timely = new TreeSet<>(EARLIEST_DEADLINE);
+    private final TreeSet<Waiting> late = new TreeSet<>(EARLIEST_DEADLINE);
     private double work;
     private double deficit;
+    private int turn;
 
-    CustomerQueue(String customer) {
+    CustomerQueue(String customer, boolean lateLast) {
         this.customer = customer;
+        this.lateLast = lateLast;
     }
 
     String customer() {
@@ -27,7 +38,7 @@
     }
 
     int size() {
-        return entries.size();
+        return timely.size() + late.size();
     }
 
     double work() {
@@ -43,21 +54,37 @@
     }
 
     void add(Waiting waiting) {
-        entries.add(waiting);
+        timely.add(waiting);
         work += waiting.work();
     }
 
     void remove(Waiting waiting) {
-        if (entries.remove(waiting)) {
+        if (timely.remove(waiting) || late.remove(waiting)) {
             work -= waiting.work();
         }
     }
 
-    Waiting first() {
-        return entries.first();
+    void served() {
+        turn = (turn + 1) % LATE_TURN;
+    }
+
+    Waiting first(long nowNanos) {
+        setLateAside(nowNanos);
+        boolean isLateTurn = turn == LATE_TURN - 1;
+        if (timely.isEmpty() || isLateTurn && !late.isEmpty()) {
+            return late.first();
+        }
+        return timely.first();
     }
 
-    Waiting newest() {
-        return entries.last();
+    Waiting newest(long nowNanos) {
+        setLateAside(nowNanos);
+        return late.size() > timely.size() ? late.last() : timely.last();
+    }
+
+    private void setLateAside(long nowNanos) {
+        while (lateLast && !timely.isEmpty() && timely.first().isLate(nowNanos)) {
+            late.add(timely.pollFirst());
+        }
     }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/TieredQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/TieredQueue.java
@@ -35,15 +35,14 @@
     /** A class that couldn't be placed for long may claim so many of its largest requests at once. */
     private static final double MOST_CREDIT = 8;
 
-    private static final Comparator<Waiting> EARLIEST_DUE = Comparator.comparingLong(
-                    (Waiting waiting) -> waiting.ask().dueNanos())
-            .thenComparingLong(Waiting::sequence);
+    private static final Comparator<Waiting> EARLIEST_START =
+            Comparator.comparingLong(Waiting::startByNanos).thenComparingLong(Waiting::sequence);
 
     private final CellSettings settings;
     private final Map<String, Waiting> byId = new HashMap<>();
     private final Map<String, ClassQueue> classes = new HashMap<>();
     private final double[] tierTime = new double[ClassTerms.LOWEST_TIER + 1];
-    private final TreeSet<Waiting> uselessLate = new TreeSet<>(EARLIEST_DUE);
+    private final TreeSet<Waiting> uselessLate = new TreeSet<>(EARLIEST_START);
     private double cellWork;
 
     /**
@@ -58,8 +57,7 @@
     @Override
     public void add(Waiting waiting) {
         ClassTerms terms = waiting.ask().terms();
-        ClassQueue queue = classes.computeIfAbsent(
-                terms.name(), name -> new ClassQueue(terms, settings.uses(Mechanism.CUSTOMER_FAIRNESS)));
+        ClassQueue queue = classes.computeIfAbsent(terms.name(), name -> new ClassQueue(terms, settings));
         if (queue.size() == 0) {
             queue.account().earn(cellWork, share(terms), 0);
             queue.account().catchUp(tierTime[tier(terms)]);
@@ -83,12 +81,12 @@
     }
 
     @Override
-    public <P> Optional<Taken<P>> next(Function<Waiting, Optional<P>> placer) {
+    public <P> Optional<Taken<P>> next(Function<Waiting, Optional<P>> placer, long nowNanos) {
         List<ClassQueue> untried = waitingClasses();
         while (!untried.isEmpty()) {
             ClassQueue queue = best(untried);
             untried.remove(queue);
-            Optional<Taken<P>> taken = queue.next(placer, isOwed(queue));
+            Optional<Taken<P>> taken = queue.next(placer, isOwed(queue), nowNanos);
             if (taken.isPresent()) {
                 Waiting waiting = taken.get().waiting();
                 forget(waiting);
@@ -107,7 +105,7 @@
     }
 
     @Override
-    public Optional<Waiting> mostUrgent() {
+    public Optional<Waiting> mostUrgent(long nowNanos) {
         ClassQueue best = null;
         for (ClassQueue queue : classes.values()) {
             boolean waits = queue.size() > 0;
@@ -115,7 +113,7 @@
                 best = queue;
             }
         }
-        return best == null ? Optional.empty() : Optional.of(best.head());
+        return best == null ? Optional.empty() : Optional.of(best.head(nowNanos));
     }
 
     @Override
@@ -124,7 +122,7 @@
     }
 
     @Override
-    public Optional<Waiting> shed() {
+    public Optional<Waiting> shed(long nowNanos) {
         int shared = 0;
         ClassQueue lowest = null;
         for (ClassQueue queue : classes.values()) {
@@ -137,21 +135,21 @@
         if (shared <= settings.maxWaiting()) {
             return Optional.empty();
         }
-        return remove(lowest.newestOfLongest().ask().id());
+        return remove(lowest.newestOfLongest(nowNanos).ask().id());
     }
 
     @Override
-    public Optional<Waiting> shedFromClass(String className) {
+    public Optional<Waiting> shedFromClass(String className, long nowNanos) {
         ClassQueue queue = classes.get(className);
         if (queue == null || queue.size() <= queue.terms().maxWaiting()) {
             return Optional.empty();
         }
-        return remove(queue.newestOfLongest().ask().id());
+        return remove(queue.newestOfLongest(nowNanos).ask().id());
     }
 
     @Override
     public Optional<Waiting> expired(long nowNanos) {
-        if (uselessLate.isEmpty() || uselessLate.first().ask().dueNanos() > nowNanos) {
+        if (uselessLate.isEmpty() || !uselessLate.first().isLate(nowNanos)) {
             return Optional.empty();
         }
         return remove(uselessLate.first().ask().id());
@@ -173,14 +171,17 @@
         ClassTerms terms = waiting.ask().terms();
         double ahead = 0;
         double own = 0;
+        double owedToLower = 0;
         for (ClassQueue queue : classes.values()) {
             if (queue.name().equals(terms.name())) {
                 own = queue.workAhead(waiting);
             } else if (queue.size() > 0 && tier(queue.terms()) <= tier(terms)) {
                 ahead += queue.work();
+            } else if (queue.size() > 0) {
+                owedToLower += share(queue.terms());
             }
         }
-        double inOrder = ahead + own;
+        double inOrder = (ahead + own) / Math.max(SMALLEST_WEIGHT, 1 - owedToLower);
         double share = share(terms);
         return share > 0 ? Math.min(inOrder, own / share) : inOrder;
     }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/WaitingQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/WaitingQueue.java
@@ -35,10 +35,11 @@
      * Takes out the request that is to be served next, among those that can be placed.
      *
      * @param placer finds a place for a request, or none
+     * @param nowNanos the time
      * @param <P> the kind of place
      * @return the request and its place, or empty if none could be placed
      */
-    <P> Optional<Taken<P>> next(Function<Waiting, Optional<P>> placer);
+    <P> Optional<Taken<P>> next(Function<Waiting, Optional<P>> placer, long nowNanos);
 
     /**
      * Takes out a request to be served out of turn, and charges its class for it.
@@ -51,9 +52,10 @@
     /**
      * The request of the highest tier that is next in that tier. It stays in the queue.
      *
+     * @param nowNanos the time
      * @return the request, or empty if none waits
      */
-    Optional<Waiting> mostUrgent();
+    Optional<Waiting> mostUrgent(long nowNanos);
 
     /**
      * All that wait.
@@ -65,20 +67,22 @@
     /**
      * Takes out one request if more wait than may: the newest of the lowest tier.
      *
+     * @param nowNanos the time
      * @return the request, or empty if the bound holds
      */
-    Optional<Waiting> shed();
+    Optional<Waiting> shed(long nowNanos);
 
     /**
      * Takes out one request of a class if more of it wait than may.
      *
      * @param className the class's name
+     * @param nowNanos the time
      * @return the request, or empty if the class's bound holds
      */
-    Optional<Waiting> shedFromClass(String className);
+    Optional<Waiting> shedFromClass(String className, long nowNanos);
 
     /**
-     * Takes out a request that is late, and useless late.
+     * Takes out a request that can't meet its target any more, and is useless late.
      *
      * @param nowNanos the time
      * @return the request, or empty if there is none
