--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/configuration/RelaySettings.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/configuration/RelaySettings.java
@@ -72,4 +72,32 @@
             GAP,
             LOG_ENTRIES,
             LOG_BYTES);
+
+    /**
+     * The same settings with another budget of reads.
+     *
+     * @param perSecond reads a second in the long run
+     * @param burst reads that may come at once
+     * @return the changed settings
+     */
+    public RelaySettings withReads(double perSecond, double burst) {
+        return new RelaySettings(
+                fanOut,
+                announceRounds,
+                announcePeriodNanos,
+                pullTimeoutNanos,
+                joinWaitNanos,
+                joinPeers,
+                headPollNanos,
+                headPollFleet,
+                refetchNanos,
+                readTimeoutNanos,
+                backoffNanos,
+                backoffCeilingNanos,
+                perSecond,
+                burst,
+                wholeGap,
+                logEntries,
+                logBytes);
+    }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
@@ -15,6 +15,7 @@
 import org.dotterelcourse.daemon.kernel.ControlLoop;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.StartFinding;
+import org.dotterelcourse.daemon.limits.Limits;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
 import org.dotterelcourse.daemon.once.Tickets;
 import org.dotterelcourse.daemon.operators.Drain;
@@ -59,6 +60,7 @@
                 .register(new Dispatchers(
                         new HttpEngine(timeouts), new HttpPlainService(timeouts.connect(), MAX_ANSWER_BYTES)))
                 .register(new Tickets())
+                .register(new Limits())
                 .register(new RequestMetrics())
                 .register(new AddressBook(settings))
                 .register(new CallersEdge(settings))
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/CallersEdge.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/CallersEdge.java
@@ -14,6 +14,7 @@
 import org.dotterelcourse.daemon.kernel.Service;
 import org.dotterelcourse.daemon.kernel.ServiceName;
 import org.dotterelcourse.daemon.kernel.StartFinding;
+import org.dotterelcourse.daemon.limits.Limits;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
 import org.dotterelcourse.daemon.once.OnceGate;
 import org.dotterelcourse.daemon.once.Tickets;
@@ -61,7 +62,13 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(ConfigurationStore.NAME, RequestMetrics.NAME, Dispatchers.NAME, AddressBook.NAME, Tickets.NAME);
+        return List.of(
+                ConfigurationStore.NAME,
+                RequestMetrics.NAME,
+                Dispatchers.NAME,
+                AddressBook.NAME,
+                Tickets.NAME,
+                Limits.NAME);
     }
 
     @Override
@@ -72,7 +79,7 @@
         Tickets once = kernel.find(Tickets.NAME);
         CallerCheck check = new CallerCheck(kernel.find(ConfigurationStore.NAME));
         BoundedBody bodies = new BoundedBody(settings.maxBodyBytes());
-        OnceGate gate = new OnceGate(once);
+        EntryGate gate = new EntryGate(kernel.find(Limits.NAME), new OnceGate(once));
         chats = new ChatRoute(check, bodies, gate, new ChatHandler(dispatchers.chat(), metrics));
         services = new ServiceRoute(check, bodies, gate, dispatchers.service(), metrics);
         tickets = new TicketRoute(check, once);
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatHandler.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatHandler.java
@@ -1,13 +1,12 @@
 package org.dotterelcourse.daemon.edge;
 
 import java.time.Duration;
-import java.util.function.Consumer;
 
 import io.netty.buffer.Unpooled;
 import org.dotterelcourse.daemon.dispatch.AnswerEvent;
 import org.dotterelcourse.daemon.dispatch.ChatCall;
 import org.dotterelcourse.daemon.dispatch.ChatDispatcher;
-import org.dotterelcourse.daemon.dispatch.Outcome;
+import org.dotterelcourse.daemon.metrics.RequestEnd;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -30,7 +29,7 @@
         this.metrics = metrics;
     }
 
-    Mono<Void> handle(ChatCall call, HttpServerResponse response, Consumer<Outcome> ended) {
+    Mono<Void> handle(ChatCall call, HttpServerResponse response, RequestEnd ended) {
         Flux<AnswerEvent> events = metrics.watch(
                         call.id(), call.customer(), call.requestClass(), call.arrivalNanos(), ended)
                 .watch(dispatcher.dispatch(call));
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatRoute.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatRoute.java
@@ -3,19 +3,19 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.dotterelcourse.configuration.RequestClass;
 import org.dotterelcourse.daemon.dispatch.ChatCall;
+import org.dotterelcourse.daemon.dispatch.Failure;
 import org.dotterelcourse.daemon.http.BoundedBody;
-import org.dotterelcourse.daemon.once.OnceGate;
 import reactor.core.publisher.Mono;
 
 /** Checks chat completions and hands them on. */
 final class ChatRoute implements Route {
     private final CallerCheck check;
     private final BoundedBody bodies;
-    private final OnceGate gate;
+    private final EntryGate gate;
     private final ChatHandler chats;
     private final ChatRequests requests = new ChatRequests();
 
-    ChatRoute(CallerCheck check, BoundedBody bodies, OnceGate gate, ChatHandler chats) {
+    ChatRoute(CallerCheck check, BoundedBody bodies, EntryGate gate, ChatHandler chats) {
         this.check = check;
         this.bodies = bodies;
         this.gate = gate;
@@ -46,11 +46,13 @@
         }
         ChatCall call = ((Parsed.Right<ChatCall>) parsed).value();
         long fingerprint = Hashing.komihash5_0().hashBytesToLong(body);
-        return OnceHeaders.enter(gate, exchange, customer, fingerprint).flatMap(pass -> {
-            if (pass instanceof OnceGate.Run run) {
-                return chats.handle(call, exchange.response(), run.ended());
-            }
-            return Replies.problem(exchange.response(), ((OnceGate.Stop) pass).failure(), exchange.id());
-        });
+        return gate.enter(exchange, customer, requestClass, call.inputTokens(), fingerprint)
+                .flatMap(entry -> {
+                    if (entry instanceof EntryGate.Admitted admitted) {
+                        return chats.handle(call, exchange.response(), admitted.end());
+                    }
+                    Failure failure = ((EntryGate.Refused) entry).failure();
+                    return Replies.problem(exchange.response(), failure, exchange.id());
+                });
     }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ServiceRoute.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ServiceRoute.java
@@ -1,16 +1,14 @@
 package org.dotterelcourse.daemon.edge;
 
-import java.util.function.Consumer;
-
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.dotterelcourse.configuration.RequestClass;
-import org.dotterelcourse.daemon.dispatch.Outcome;
+import org.dotterelcourse.daemon.dispatch.Failure;
 import org.dotterelcourse.daemon.dispatch.ServiceAnswer;
 import org.dotterelcourse.daemon.dispatch.ServiceDispatcher;
 import org.dotterelcourse.daemon.dispatch.ServiceRequest;
 import org.dotterelcourse.daemon.http.BoundedBody;
+import org.dotterelcourse.daemon.metrics.RequestEnd;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
-import org.dotterelcourse.daemon.once.OnceGate;
 import reactor.core.publisher.Mono;
 
 /** Checks calls to plain services, passes them through and passes the answers back. */
@@ -20,14 +18,14 @@
 
     private final CallerCheck check;
     private final BoundedBody bodies;
-    private final OnceGate gate;
+    private final EntryGate gate;
     private final ServiceDispatcher dispatcher;
     private final RequestMetrics metrics;
 
     ServiceRoute(
             CallerCheck check,
             BoundedBody bodies,
-            OnceGate gate,
+            EntryGate gate,
             ServiceDispatcher dispatcher,
             RequestMetrics metrics) {
         this.check = check;
@@ -79,18 +77,19 @@
                 .putString(request.path())
                 .putByteArray(request.body())
                 .getAsLong();
-        return OnceHeaders.enter(gate, exchange, request.customer(), fingerprint)
-                .flatMap(pass -> {
-                    if (pass instanceof OnceGate.Run run) {
-                        return answer(exchange, request, run.ended());
+        return gate.enter(exchange, request.customer(), request.requestClass(), 0, fingerprint)
+                .flatMap(entry -> {
+                    if (entry instanceof EntryGate.Admitted admitted) {
+                        return answer(exchange, request, admitted.end());
                     }
-                    return Replies.problem(exchange.response(), ((OnceGate.Stop) pass).failure(), exchange.id());
+                    Failure failure = ((EntryGate.Refused) entry).failure();
+                    return Replies.problem(exchange.response(), failure, exchange.id());
                 });
     }
 
-    private Mono<Void> answer(Exchange exchange, ServiceRequest request, Consumer<Outcome> ended) {
+    private Mono<Void> answer(Exchange exchange, ServiceRequest request, RequestEnd end) {
         Mono<ServiceAnswer> answer = metrics.watch(
-                        request.id(), request.customer(), request.requestClass(), request.arrivalNanos(), ended)
+                        request.id(), request.customer(), request.requestClass(), request.arrivalNanos(), end)
                 .watch(dispatcher.dispatch(request));
         return answer.flatMap(result -> {
             if (result instanceof ServiceAnswer.Answered answered) {
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/kernel/ControlLoop.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/kernel/ControlLoop.java
@@ -60,6 +60,16 @@
         }
     }
 
+    /**
+     * Runs a task once after a time.
+     *
+     * @param delayNanos the time
+     * @param task the task
+     */
+    public void after(long delayNanos, Runnable task) {
+        executor.schedule(guarded(task), delayNanos, TimeUnit.NANOSECONDS);
+    }
+
     /**
      * Runs a task again and again, until the loop stops.
      *
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/limits/Limits.java
@@ -0,0 +1,243 @@
+package org.dotterelcourse.daemon.limits;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.dotterelcourse.configuration.Configuration;
+import org.dotterelcourse.configuration.Customer;
+import org.dotterelcourse.coordination.limit.Amount;
+import org.dotterelcourse.coordination.limit.Budget;
+import org.dotterelcourse.coordination.limit.LimitClient;
+import org.dotterelcourse.coordination.limit.LimitCodec;
+import org.dotterelcourse.coordination.limit.LimitEffect;
+import org.dotterelcourse.coordination.limit.LimitHome;
+import org.dotterelcourse.coordination.limit.LimitMessage;
+import org.dotterelcourse.coordination.limit.LimitSettings;
+import org.dotterelcourse.coordination.limit.Taking;
+import org.dotterelcourse.coordination.membership.Member;
+import org.dotterelcourse.coordination.membership.MemberState;
+import org.dotterelcourse.coordination.ownership.Ownership;
+import org.dotterelcourse.daemon.kernel.ControlLoop;
+import org.dotterelcourse.daemon.kernel.Kernel;
+import org.dotterelcourse.daemon.kernel.Service;
+import org.dotterelcourse.daemon.kernel.ServiceName;
+import org.dotterelcourse.daemon.kernel.StartFinding;
+import org.dotterelcourse.daemon.peers.Peers;
+import org.dotterelcourse.daemon.platform.ConfigurationStore;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/**
+ * Charges requests to customers' budgets, and keeps the budgets of the customers whose home this daemon is. A customer is
+ * only taken up when it calls, or when another daemon asks for a part of its budget: of 18,000 customers a daemon meets
+ * a few hundred.
+ */
+public final class Limits implements Service {
+    /** The name that it is found by. */
+    public static final ServiceName<Limits> NAME = new ServiceName<>("limits", Limits.class);
+
+    private static final String CHANNEL = "limits";
+    private static final Duration TICK = Duration.ofMillis(50);
+
+    /** A page of questions or a counter's rush comes within a few seconds; more than that is a rate, not a burst. */
+    private static final int BURST_SECONDS = 4;
+
+    /**
+     * A call that fits its budget this soon waits for it instead of being refused. A home that has just taken over
+     * starts with nothing to lease, and would else refuse the first calls of every customer for a few milliseconds.
+     */
+    private static final long LONGEST_HOLD_NANOS = 250_000_000L;
+
+    /** Calls of one customer that may wait for its budget; a hot customer is refused, not collected. */
+    private static final int MAX_HELD = 64;
+
+    private final Map<String, Integer> held = new HashMap<>();
+    private final Map<String, Deque<Waiting>> waiting = new HashMap<>();
+    private final Set<String> met = new HashSet<>();
+    private ControlLoop loop;
+    private Peers peers;
+    private String region;
+    private LimitClient client;
+    private LimitHome home;
+    private Ownership ownership;
+    private Configuration configuration;
+
+    private record Waiting(String customer, long tokens, long untilNanos, MonoSink<Charge> sink) {}
+
+    @Override
+    public ServiceName<Limits> name() {
+        return NAME;
+    }
+
+    @Override
+    public List<ServiceName<?>> dependencies() {
+        return List.of(ControlLoop.NAME, Peers.NAME, ConfigurationStore.NAME);
+    }
+
+    @Override
+    public List<StartFinding> start(Kernel kernel) {
+        loop = kernel.find(ControlLoop.NAME);
+        peers = kernel.find(Peers.NAME);
+        region = peers.region();
+        LimitSettings settings = LimitSettings.defaults();
+        client = new LimitClient(peers.life(), settings, this::homeOf);
+        home = new LimitHome(settings, loop.nowNanos());
+        ownership = new Ownership(List.of(), 0, loop.nowNanos());
+        peers.receive(CHANNEL, this::received);
+        peers.onView(this::view);
+        kernel.find(ConfigurationStore.NAME).onChange(next -> loop.execute(() -> configured(next)));
+        loop.every(TICK, () -> carryOut(client.advance(loop.nowNanos())));
+        return List.of();
+    }
+
+    @Override
+    public void stop() {
+        // Slices that are still held run out with the budget's own rate.
+    }
+
+    /**
+     * Charges a request.
+     *
+     * @param customer its customer
+     * @param tokens the estimate of its prompt and answer
+     * @return one value, after a round trip to the customer's home at most
+     */
+    public Mono<Charge> charge(String customer, long tokens) {
+        return Mono.create(sink ->
+                loop.execute(() -> take(new Waiting(customer, tokens, loop.nowNanos() + LONGEST_HOLD_NANOS, sink))));
+    }
+
+    private void take(Waiting call) {
+        Taking taking = client.take(call.customer(), call.tokens(), loop.nowNanos());
+        if (taking instanceof Taking.UnknownCustomer && meet(call.customer())) {
+            taking = client.take(call.customer(), call.tokens(), loop.nowNanos());
+        }
+        if (taking instanceof Taking.Taken taken) {
+            call.sink().success(new Charge.Charged(used -> settle(call.customer(), taken.charged(), used)));
+            carryOut(taken.effects());
+        } else if (taking instanceof Taking.Waiting waits) {
+            waiting.computeIfAbsent(call.customer(), name -> new ArrayDeque<>()).add(call);
+            carryOut(waits.effects());
+        } else if (taking instanceof Taking.OverBudget over) {
+            overBudget(call, over.retryAfterNanos());
+        } else {
+            // The customer left the configuration between its request's arrival and now.
+            call.sink().success(new Charge.OverBudget(0));
+        }
+    }
+
+    private void overBudget(Waiting call, long retryAfterNanos) {
+        boolean soon = loop.nowNanos() + retryAfterNanos <= call.untilNanos();
+        if (!soon || held.getOrDefault(call.customer(), 0) >= MAX_HELD) {
+            call.sink().success(new Charge.OverBudget(retryAfterNanos));
+            return;
+        }
+        held.merge(call.customer(), 1, Integer::sum);
+        loop.after(retryAfterNanos, () -> {
+            held.computeIfPresent(call.customer(), (name, count) -> count == 1 ? null : count - 1);
+            take(call);
+        });
+    }
+
+    private void settle(String customer, Amount charged, long used) {
+        loop.execute(() -> client.settle(customer, charged, used, loop.nowNanos()));
+    }
+
+    private boolean meet(String customer) {
+        Optional<Budget> budget = budget(customer);
+        budget.ifPresent(known -> {
+            met.add(customer);
+            client.budget(customer, known, loop.nowNanos());
+        });
+        return budget.isPresent();
+    }
+
+    private Optional<Budget> budget(String customer) {
+        return configuration == null
+                ? Optional.empty()
+                : configuration.customer(customer).map(Limits::budget);
+    }
+
+    private static Budget budget(Customer customer) {
+        long requests = (long) Math.max(1, Math.ceil(customer.requestsPerSecond()));
+        long tokens = (long) Math.max(1, Math.ceil(customer.tokensPerSecond()));
+        return new Budget(new Amount(requests, tokens), new Amount(BURST_SECONDS * requests, BURST_SECONDS * tokens));
+    }
+
+    private void received(String from, byte[] body) {
+        if (LimitCodec.decode(body) instanceof LimitCodec.Decoded.Message decoded) {
+            dispatch(from, decoded.message());
+        }
+    }
+
+    private void dispatch(String from, LimitMessage message) {
+        if (message instanceof LimitMessage.Slices slices) {
+            carryOut(client.on(slices, loop.nowNanos()));
+        } else if (message instanceof LimitMessage.Wants wants) {
+            wants.wants().forEach(want -> holdIfOurs(want.customer()));
+            carryOut(home.on(from, wants, loop.nowNanos()));
+        }
+    }
+
+    /** Two daemons may each take themselves for the home while their views differ; each leases the budget then. */
+    private void holdIfOurs(String customer) {
+        Optional<Budget> budget = budget(customer);
+        boolean ours = homeOf(customer).filter(peers.self()::equals).isPresent();
+        if (ours && budget.isPresent()) {
+            home.hold(customer, budget.get(), loop.nowNanos());
+        } else {
+            home.drop(customer);
+        }
+    }
+
+    private Optional<String> homeOf(String customer) {
+        return ownership.home(customer, region).map(Member::name);
+    }
+
+    private void carryOut(List<LimitEffect> effects) {
+        for (LimitEffect effect : effects) {
+            if (effect instanceof LimitEffect.Send send) {
+                send(send.to(), send.message());
+            } else if (effect instanceof LimitEffect.Refilled refilled) {
+                Deque<Waiting> calls = waiting.remove(refilled.customer());
+                if (calls != null) {
+                    calls.forEach(this::take);
+                }
+            }
+        }
+    }
+
+    private void send(String member, LimitMessage message) {
+        if (member.equals(peers.self())) {
+            loop.execute(() -> dispatch(member, message));
+        } else {
+            peers.send(member, CHANNEL, LimitCodec.encode(message));
+        }
+    }
+
+    private void view(List<Member> members) {
+        ownership = new Ownership(members, Peers.SUSPECT_GRACE_NANOS, loop.nowNanos());
+        client.members((int) members.stream()
+                .filter(member -> member.state() == MemberState.ALIVE)
+                .count());
+    }
+
+    private void configured(Configuration next) {
+        configuration = next;
+        met.removeIf(customer -> {
+            Optional<Budget> budget = budget(customer);
+            budget.ifPresent(known -> client.budget(customer, known, loop.nowNanos()));
+            if (budget.isEmpty()) {
+                client.forget(customer);
+            }
+            return budget.isEmpty();
+        });
+    }
+}
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Customers' budgets of requests and tokens. */
+package org.dotterelcourse.daemon.limits;
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestMetrics.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestMetrics.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import org.dotterelcourse.configuration.RequestClass;
@@ -63,7 +62,7 @@
      * @return the watch
      */
     public RequestWatch watch(
-            String id, String customer, RequestClass requestClass, long arrivalNanos, Consumer<Outcome> ended) {
+            String id, String customer, RequestClass requestClass, long arrivalNanos, RequestEnd ended) {
         return new RequestWatch(this, id, customer, requestClass, arrivalNanos, ended);
     }
 
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestWatch.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestWatch.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 
 import org.dotterelcourse.configuration.RequestClass;
 import org.dotterelcourse.daemon.dispatch.AnswerEvent;
@@ -24,7 +23,7 @@
     private final String customer;
     private final RequestClass requestClass;
     private final long arrivalNanos;
-    private final Consumer<Outcome> listener;
+    private final RequestEnd listener;
     private final AtomicBoolean ended = new AtomicBoolean();
     private long firstNanos = -1;
     private long lastNanos;
@@ -37,7 +36,7 @@
             String customer,
             RequestClass requestClass,
             long arrivalNanos,
-            Consumer<Outcome> listener) {
+            RequestEnd listener) {
         this.metrics = metrics;
         this.id = id;
         this.customer = customer;
@@ -98,7 +97,7 @@
 
     private void end(Outcome outcome, String reason) {
         if (ended.compareAndSet(false, true)) {
-            listener.accept(outcome);
+            listener.ended(outcome, tokens);
             metrics.ended(this, outcome, reason);
         }
     }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
@@ -126,6 +126,15 @@
         return settings.name();
     }
 
+    /**
+     * The region that this daemon stands in.
+     *
+     * @return its name
+     */
+    public String region() {
+        return settings.region();
+    }
+
     /**
      * Tells this life of the process from others of the same name.
      *
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/ConfigurationRelayService.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/ConfigurationRelayService.java
@@ -19,6 +19,8 @@
 import org.dotterelcourse.daemon.kernel.StartFinding;
 import org.dotterelcourse.daemon.peers.Peers;
 import org.jboss.logging.Logger;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 
 /** Runs the relay of numbered configuration: reads the platform's service for it and puts in force what it decides. */
@@ -33,6 +35,7 @@
     private final ConfigSource source;
     private final ConfigurationFolder folder;
     private final double readsPerSecond;
+    private final Disposable.Swap reads = Disposables.swap();
     private ConfigurationStore store;
     private AuditTrail audit;
     private Peers peers;
@@ -66,8 +69,9 @@
         store = kernel.find(ConfigurationStore.NAME);
         audit = kernel.find(AuditTrail.NAME);
         peers = kernel.find(Peers.NAME);
+        RelaySettings settings = RelaySettings.STANDARD.withReads(readsPerSecond, 2 * readsPerSecond);
         ConfigurationRelay relay =
-                new ConfigurationRelay(folder, settings(), RandomGenerator.getDefault(), System.nanoTime());
+                new ConfigurationRelay(folder, settings, RandomGenerator.getDefault(), System.nanoTime());
         driver = new ConfigurationDriver(peers.transport(), relay, this::carryOut);
         peers.onMembership(driver::membershipChanged);
         driver.start(TICK_NANOS);
@@ -76,27 +80,7 @@
 
     @Override
     public void stop() {
-        // The transport ends the ticks.
-    }
-
-    private RelaySettings settings() {
-        RelaySettings usual = RelaySettings.STANDARD;
-        return new RelaySettings(
-                usual.fanOut(),
-                usual.pullTimeoutNanos(),
-                usual.joinWaitNanos(),
-                usual.joinPeers(),
-                usual.headPollNanos(),
-                usual.headPollFleet(),
-                usual.refetchNanos(),
-                usual.readTimeoutNanos(),
-                usual.backoffNanos(),
-                usual.backoffCeilingNanos(),
-                readsPerSecond,
-                2 * readsPerSecond,
-                usual.wholeGap(),
-                usual.logEntries(),
-                usual.logBytes());
+        reads.dispose();
     }
 
     private void carryOut(RelayEffect effect) {
@@ -128,7 +112,7 @@
     }
 
     private void answer(Mono<? extends RelayEvent> read, RelayEvent none) {
-        read.cast(RelayEvent.class)
+        reads.update(read.cast(RelayEvent.class)
                 .defaultIfEmpty(none)
                 .onErrorResume(this::failed)
                 .subscribe(driver::submit);
