Properties of the scheduler over random traces; settle customers' turns by actual work

An adopted grant counts at a worker that the list hasn't shown yet, and takes its request out of the queue.

--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/LocalDaemonsScheduler.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/LocalDaemonsScheduler.java
@@ -58,11 +58,8 @@
             return List.of(new CellEffect.Refused(ask.id(), RefusalReason.CELL_FULL, 1_000_000_000L));
         }
         Sent sent = new Sent(daemon, choose(daemon, usable));
-        lastGrant++;
-        grants.put(lastGrant, sent);
-        outstanding.merge(sent, 1, Integer::sum);
-        open[daemon]++;
-        return List.of(new CellEffect.Granted(ask.id(), lastGrant, sent.worker()));
+        long grant = send(sent);
+        return List.of(new CellEffect.Granted(ask.id(), grant, sent.worker()));
     }
 
     @Override
@@ -87,7 +84,7 @@
 
     @Override
     public long adopt(Ask ask, String worker, long nowNanos) {
-        throw new UnsupportedOperationException("daemons that are alone take nothing over");
+        return send(new Sent(0, worker));
     }
 
     @Override
@@ -112,6 +109,14 @@
         return 0;
     }
 
+    private long send(Sent sent) {
+        lastGrant++;
+        grants.put(lastGrant, sent);
+        outstanding.merge(sent, 1, Integer::sum);
+        open[sent.daemon()]++;
+        return lastGrant;
+    }
+
     private String choose(int daemon, List<WorkerInfo> usable) {
         if (choice == Choice.TWO_CHOICES) {
             String one = usable.get(random.nextInt(usable.size())).name();
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
@@ -119,6 +119,7 @@
 
     @Override
     public long adopt(Ask ask, String worker, long nowNanos) {
+        queue.remove(ask.id());
         grant(waiting(ask), worker, false, nowNanos);
         // The class was charged by the scheduler that gave the grant; here it pays at the end for what was done.
         charges.put(lastGrant, 0.0);
@@ -252,7 +253,7 @@
         Ask ask = ended.ask();
         boolean ran = completion.outputTokens() > 0;
         double actual = ran ? ended.candidate().prefillWork() + completion.outputTokens() : 0;
-        queue.settle(ask.terms().name(), charged, actual);
+        queue.settle(ask.terms().name(), ask.customer(), charged, actual);
         if (completion.end() == Completion.End.ANSWERED) {
             estimator.observe(ask.terms(), ask.customer(), ask.resumedTokens() + completion.outputTokens());
             admission.observe(ask, actual, completion, nowNanos);
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/placement/CellPlacement.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/placement/CellPlacement.java
@@ -108,11 +108,8 @@
 
     @Override
     public void granted(Running running, long nowNanos) {
-        // A grant that was adopted from an earlier owner may be at a worker that has left the list since.
-        Worker worker = workers.get(running.worker());
-        if (worker != null) {
-            worker.granted(running, nowNanos);
-        }
+        workers.computeIfAbsent(running.worker(), name -> unlisted(name, nowNanos))
+                .granted(running, nowNanos);
     }
 
     @Override
@@ -203,6 +200,16 @@
         return names;
     }
 
+    /**
+     * A worker that only an adopted grant tells of: it has left the list, or the list hasn't come yet. It is counted from
+     * now on, else its room would be given out twice when the list shows it.
+     */
+    private Worker unlisted(String name, long nowNanos) {
+        Worker worker = new Worker(new WorkerInfo(name, "", 0, false), settings, nowNanos);
+        worker.goneFromList();
+        return worker;
+    }
+
     private Worker home(Candidate candidate, List<Worker> free, double bestFinish, long nowNanos) {
         double most = bestFinish * (1 + settings.affinitySlack());
         Worker home = null;
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/ClassQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/ClassQueue.java
@@ -15,15 +15,18 @@
  * The waiting requests of one class. Customers take turns by deficit round robin (Shreedhar and Varghese, 1995),
  * measured in work, so that a customer with many or long requests gets no more of the class than one with few.
  *
- * <p>The quantum is the largest work seen of late. It is never below the work of a head, so that one visit is enough to
+ * <p>A turn is charged by estimate, and corrected when the work is known. The quantum is the largest work seen of late. It is never below the work of a head, so that one visit is enough to
  * serve a customer, and a turn costs O(log n).
  */
 final class ClassQueue {
     /** How many customers' heads are tried for a place in one go; bounds the cost of a decision. */
     private static final int MAX_HEADS_TRIED = 16;
 
-    /** The quantum's memory: after a hundred requests without a long one it has fallen by two thirds. */
-    private static final double QUANTUM_DECAY = 0.99;
+    /** A customer whose answer was much longer than estimated passes at most so many turns for it. */
+    private static final double MOST_DEBT = 4;
+
+    /** The quantum's memory: after a thousand requests without a long one it has fallen by two thirds. */
+    private static final double QUANTUM_DECAY = 0.999;
 
     private static final Comparator<CustomerQueue> FEWEST_WAITING =
             Comparator.comparingInt(CustomerQueue::size).thenComparing(CustomerQueue::customer);
@@ -104,10 +107,29 @@
 
     /** Takes out the next request of this class for which there is a place. */
     <P> Optional<WaitingQueue.Taken<P>> next(Function<Waiting, Optional<P>> placer, boolean owed, long nowNanos) {
+        Optional<WaitingQueue.Taken<P>> inTurn = next(placer, owed, true, nowNanos);
+        return inTurn.isPresent() ? inTurn : next(placer, owed, false, nowNanos);
+    }
+
+    /** Corrects a customer's turns when the work of a request has become known. */
+    void settle(String customer, double difference) {
+        CustomerQueue queue = customers.get(customersShare ? customer : "");
+        if (queue != null) {
+            queue.settle(difference, MOST_DEBT * quantum);
+        }
+    }
+
+    private <P> Optional<WaitingQueue.Taken<P>> next(
+            Function<Waiting, Optional<P>> placer, boolean owed, boolean debtsCount, long nowNanos) {
         int tries = Math.min(MAX_HEADS_TRIED, customers.size());
         for (int i = 0; i < tries; i++) {
             CustomerQueue queue = first();
             Waiting head = queue.first(nowNanos);
+            if (debtsCount && isInDebt(queue, head)) {
+                queue.addDeficit(quantum);
+                endTurn(queue);
+                continue;
+            }
             Optional<P> place = placer.apply(head);
             if (place.isPresent()) {
                 serve(queue, head, nowNanos);
@@ -135,6 +157,10 @@
         return Math.min(work, (own + waiting.work()) * turns - waiting.work());
     }
 
+    private boolean isInDebt(CustomerQueue queue, Waiting head) {
+        return queue.deficit() + Math.max(quantum, head.work()) < head.work();
+    }
+
     private void serve(CustomerQueue queue, Waiting head, long nowNanos) {
         queue.served();
         if (queue.deficit() < head.work()) {
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/CustomerQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/CustomerQueue.java
@@ -53,6 +53,10 @@
         deficit += amount;
     }
 
+    void settle(double difference, double mostDebt) {
+        deficit = Math.max(-mostDebt, Math.min(mostDebt, deficit - difference));
+    }
+
     void add(Waiting waiting) {
         timely.add(waiting);
         work += waiting.work();
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/TieredQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/TieredQueue.java
@@ -156,13 +156,14 @@
     }
 
     @Override
-    public void settle(String className, double charged, double actual) {
+    public void settle(String className, String customer, double charged, double actual) {
         ClassQueue queue = classes.get(className);
         if (queue == null) {
             return;
         }
         double difference = actual - charged;
         cellWork += difference;
+        queue.settle(customer, difference);
         queue.account().correct(difference, actual);
     }
 
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/WaitingQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/WaitingQueue.java
@@ -90,13 +90,14 @@
     Optional<Waiting> expired(long nowNanos);
 
     /**
-     * Corrects the accounts of a class when the work of a request has become known.
+     * Corrects the accounts of a class and a customer when the work of a request has become known.
      *
      * @param className the class's name
+     * @param customer the customer's name
      * @param charged the work it was charged when it was taken out, in output tokens
      * @param actual the work it was, in output tokens
      */
-    void settle(String className, double charged, double actual);
+    void settle(String className, String customer, double charged, double actual);
 
     /**
      * The work that will be served before a request would be, if it entered now.
--- /dev/null
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/cell/RandomTrace.java
@@ -0,0 +1,237 @@
+package org.dotterelcourse.policy.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Drives a scheduler with random events, does what it decides, and checks after each decision what must always hold:
+ * each request is open or has ended once, no worker has more than its concurrency, no leaving worker gets a grant, no
+ * higher tier is shed or preempted for a lower one, and no more wait than may.
+ */
+final class RandomTrace {
+    static final int GUARANTEED = 2;
+    static final int MAX_WAITING = 12;
+    static final long MILLI = 1_000_000L;
+
+    static final List<ClassTerms> CLASSES = List.of(
+            terms("urgent", 1, 0, true),
+            terms("quick", 2, 0.2, false),
+            terms("plain", 3, 0, false),
+            terms("slow", 4, 0.1, false));
+
+    private enum End {
+        REFUSED,
+        ANSWERED,
+        WITHDRAWN,
+        FAILED
+    }
+
+    final Map<String, Ask> waiting = new LinkedHashMap<>();
+    final Map<String, End> ended = new HashMap<>();
+    final Map<Long, CellEffect.Granted> grants = new LinkedHashMap<>();
+    final Map<String, Ask> asks = new HashMap<>();
+    int sheds;
+    int preemptions;
+
+    private final Random random;
+    private final CellScheduler scheduler;
+    private final Map<String, WorkerInfo> workers = new LinkedHashMap<>();
+    private final Set<String> saidLeaving = new HashSet<>();
+    private long nowNanos;
+    private int lastId;
+
+    RandomTrace(long seed, CellScheduler scheduler) {
+        this.random = new Random(seed);
+        this.scheduler = scheduler;
+    }
+
+    void run(int steps) {
+        publish();
+        for (int i = 0; i < steps; i++) {
+            nowNanos += random.nextInt(20) * MILLI;
+            step();
+            assertThat(scheduler.waiting()).isEqualTo(waiting.size());
+            assertThat(waiting.size()).isLessThanOrEqualTo(MAX_WAITING + CLASSES.size() * GUARANTEED);
+            assertThat(waiting.size() + ended.size() + grants.size()).isEqualTo(asks.size());
+        }
+    }
+
+    private void step() {
+        int kind = random.nextInt(100);
+        if (kind < 45) {
+            offer(newAsk());
+        } else if (kind < 75) {
+            release();
+        } else if (kind < 85) {
+            progress();
+        } else if (kind < 88) {
+            withdraw();
+        } else if (kind < 90) {
+            publish();
+        } else if (kind < 92) {
+            report();
+        } else {
+            carryOut(scheduler.advance(nowNanos));
+        }
+    }
+
+    private Ask newAsk() {
+        lastId++;
+        ClassTerms terms = CLASSES.get(random.nextInt(CLASSES.size()));
+        long prefix = random.nextInt(4);
+        Ask ask = new Ask(
+                "r" + lastId,
+                terms,
+                "customer-" + random.nextInt(3),
+                nowNanos,
+                10 + random.nextInt(100),
+                prefix,
+                random.nextInt(4) > 0,
+                0,
+                Set.of());
+        asks.put(ask.id(), ask);
+        return ask;
+    }
+
+    private void offer(Ask ask) {
+        waiting.put(ask.id(), ask);
+        asks.put(ask.id(), ask);
+        carryOut(scheduler.offer(ask, nowNanos));
+    }
+
+    private void release() {
+        if (grants.isEmpty()) {
+            return;
+        }
+        CellEffect.Granted granted = anyGrant();
+        grants.remove(granted.grant());
+        Completion.End end = Completion.End.values()[random.nextInt(Completion.End.values().length)];
+        boolean ran = end == Completion.End.ANSWERED || end == Completion.End.FAILED;
+        int tokens = ran ? 1 + random.nextInt(100) : 0;
+        WorkerInfo listed = workers.get(granted.worker());
+        // A worker that the list shows leaving or gone anyway counts as back when the list shows it back.
+        if (end == Completion.End.LEAVING && listed != null && !listed.leaving()) {
+            saidLeaving.add(granted.worker());
+        }
+        ended.put(granted.askId(), ran ? End.ANSWERED : End.FAILED);
+        long duration = (1 + random.nextInt(500)) * MILLI;
+        carryOut(scheduler.release(
+                granted.grant(), new Completion(end, ran ? duration / 10 : -1, duration, tokens), nowNanos));
+    }
+
+    private void progress() {
+        if (!grants.isEmpty()) {
+            carryOut(scheduler.progress(anyGrant().grant(), random.nextInt(120), nowNanos));
+        }
+    }
+
+    private void withdraw() {
+        if (!waiting.isEmpty()) {
+            String id = waiting.keySet().iterator().next();
+            waiting.remove(id);
+            ended.put(id, End.WITHDRAWN);
+            carryOut(scheduler.withdraw(id, nowNanos));
+        }
+    }
+
+    private void publish() {
+        workers.clear();
+        for (int i = 1; i <= 3 + random.nextInt(2); i++) {
+            String name = "llm-" + i;
+            boolean leaving = random.nextInt(10) == 0;
+            saidLeaving.removeIf(each -> leaving && each.equals(name));
+            workers.put(name, new WorkerInfo(name, "ruwi-hall", 4, leaving));
+        }
+        saidLeaving.retainAll(workers.keySet());
+        carryOut(scheduler.workers(List.copyOf(workers.values()), nowNanos));
+    }
+
+    private void report() {
+        String worker = "llm-" + (1 + random.nextInt(3));
+        long measured = nowNanos - random.nextInt(5_000) * MILLI;
+        carryOut(scheduler.report(new WorkerReport(worker, measured, random.nextInt(6), random.nextInt(3)), nowNanos));
+    }
+
+    private void carryOut(List<CellEffect> effects) {
+        List<Ask> stopped = new ArrayList<>();
+        for (int i = 0; i < effects.size(); i++) {
+            if (effects.get(i) instanceof CellEffect.Granted granted) {
+                granted(granted);
+            } else if (effects.get(i) instanceof CellEffect.Refused refused) {
+                refused(refused);
+            } else if (effects.get(i) instanceof CellEffect.Preempted preempted) {
+                stopped.add(preempted(preempted, (CellEffect.Granted) effects.get(i + 1)));
+            }
+        }
+        for (Ask ask : stopped) {
+            offer(ask);
+        }
+    }
+
+    private void granted(CellEffect.Granted granted) {
+        assertThat(waiting.remove(granted.askId())).isNotNull();
+        WorkerInfo worker = workers.get(granted.worker());
+        assertThat(worker.leaving()).isFalse();
+        assertThat(saidLeaving).doesNotContain(worker.name());
+        grants.put(granted.grant(), granted);
+        long running = grants.values().stream()
+                .filter(each -> each.worker().equals(worker.name()))
+                .count();
+        assertThat(running).isLessThanOrEqualTo(worker.concurrency());
+    }
+
+    private void refused(CellEffect.Refused refused) {
+        Ask ask = waiting.remove(refused.askId());
+        assertThat(ended.put(refused.askId(), End.REFUSED)).isNull();
+        assertThat(refused.retryAfterNanos()).isPositive();
+        if (refused.reason() != RefusalReason.CELL_FULL) {
+            return;
+        }
+        sheds++;
+        Map<String, Integer> lower = new HashMap<>();
+        for (Ask other : waiting.values()) {
+            if (other.terms().tier() > ask.terms().tier()) {
+                lower.merge(other.terms().name(), 1, Integer::sum);
+            }
+        }
+        for (ClassTerms terms : CLASSES) {
+            int guaranteed = terms.minimumShare() > 0 ? GUARANTEED : 0;
+            assertThat(lower.getOrDefault(terms.name(), 0)).isLessThanOrEqualTo(guaranteed);
+        }
+    }
+
+    private Ask preempted(CellEffect.Preempted preempted, CellEffect.Granted instead) {
+        preemptions++;
+        assertThat(grants.remove(preempted.grant())).isNotNull();
+        Ask stopped = asks.get(preempted.askId());
+        Ask urgent = asks.get(instead.askId());
+        assertThat(stopped.idempotent()).isTrue();
+        assertThat(stopped.terms().tier()).isGreaterThan(urgent.terms().tier());
+        return new Ask(
+                stopped.id(),
+                stopped.terms(),
+                stopped.customer(),
+                stopped.arrivalNanos(),
+                stopped.inputTokens(),
+                stopped.prefix(),
+                true,
+                stopped.resumedTokens() + 1,
+                Set.of());
+    }
+
+    private CellEffect.Granted anyGrant() {
+        return List.copyOf(grants.values()).get(random.nextInt(grants.size()));
+    }
+
+    private static ClassTerms terms(String name, int tier, double share, boolean lateIsUseless) {
+        return new ClassTerms(name, tier, share, 8, lateIsUseless, 200 * MILLI * tier, 50 * MILLI, 2_000);
+    }
+}
