--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Trial.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Trial.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Random;
 
 import org.dotterelcourse.policy.cell.CellEffect;
 import org.dotterelcourse.policy.cell.CellScheduler;
@@ -23,6 +24,7 @@
 final class Trial {
     private static final long TICK_NANOS = 20_000_000L;
     private static final long REPORT_EVERY_NANOS = 1_000_000_000L;
+    private static final long FAILING_AFTER_NANOS = 50_000_000L;
     private static final int TOKENS_PER_PROGRESS = 8;
 
     private record Event(long atNanos, long sequence, Runnable action) {}
@@ -41,6 +43,8 @@
     private final Map<String, Call> open = new HashMap<>();
     private final Map<Long, Job> jobs = new HashMap<>();
     private final Map<Long, FakeWorker> placed = new HashMap<>();
+    private double failingFraction;
+    private Random failures = new Random();
     private long sequence;
     private long nowNanos;
 
@@ -53,6 +57,12 @@
         }
     }
 
+    /** Makes a fraction of all attempts fail before their first token. */
+    void failing(double fraction, long seed) {
+        failingFraction = fraction;
+        failures = new Random(seed);
+    }
+
     void at(long atNanos, Runnable action) {
         sequence++;
         events.add(new Event(atNanos, sequence, action));
@@ -141,6 +151,10 @@
             at(nowNanos, () -> fail(worker, job, Attempt.End.NO_CONNECTION));
             return;
         }
+        if (failures.nextDouble() < failingFraction) {
+            at(nowNanos + FAILING_AFTER_NANOS, () -> fail(worker, job, Attempt.End.BROKEN));
+            return;
+        }
         worker.waiting.add(job);
         admit(worker);
     }
