--- /dev/null
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/UpstreamSection.java
@@ -0,0 +1,60 @@
+package org.dotterelcourse.configuration;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** {@code [upstream NAME]}: an upstream, without its workers. */
+final class UpstreamSection implements SectionKind<Upstream> {
+    static final String KIND = "kind";
+    static final String REGION = "region";
+    static final String FENCING = "fencing";
+    static final String CONCURRENCY = "concurrency";
+    static final String LOADS_PER_MINUTE = "loads-per-minute";
+
+    private static final long MOST_CONCURRENCY = 100_000;
+    private static final long MOST_LOADS_PER_MINUTE = 10_000;
+    private static final long DEFAULT_LOADS_PER_MINUTE = 6;
+
+    @Override
+    public String word() {
+        return "upstream";
+    }
+
+    @Override
+    public List<String> keys() {
+        return List.of(KIND, REGION, FENCING, CONCURRENCY, LOADS_PER_MINUTE);
+    }
+
+    @Override
+    public Upstream read(SectionReader in) {
+        Upstream.Kind kind = in.required(KIND, Value.oneOf(Upstream.Kind.class));
+        String region = in.required(REGION, Value.NAMED);
+        Upstream.Fencing fencing = in.optional(FENCING, Value.oneOf(Upstream.Fencing.class), Upstream.Fencing.IGNORED);
+        int concurrency =
+                in.required(CONCURRENCY, Value.integer(1, MOST_CONCURRENCY)).intValue();
+        long usual = kind == Upstream.Kind.ENGINE ? DEFAULT_LOADS_PER_MINUTE : 0;
+        int loads = in.optional(LOADS_PER_MINUTE, Value.integer(0, MOST_LOADS_PER_MINUTE), usual)
+                .intValue();
+        if (kind == Upstream.Kind.SERVICE && loads != 0) {
+            in.add(LOADS_PER_MINUTE, "0 for a plain service", String.valueOf(loads));
+        }
+        return new Upstream(in.name(), kind, region, fencing, concurrency, loads, List.of());
+    }
+
+    @Override
+    public Map<String, String> write(Upstream value) {
+        Map<String, String> entries = new LinkedHashMap<>();
+        entries.put(KIND, Value.word(value.kind()));
+        entries.put(REGION, value.region());
+        entries.put(FENCING, Value.word(value.fencing()));
+        entries.put(CONCURRENCY, String.valueOf(value.concurrency()));
+        entries.put(LOADS_PER_MINUTE, String.valueOf(value.loadsPerMinute()));
+        return entries;
+    }
+
+    @Override
+    public String name(Upstream value) {
+        return value.name();
+    }
+}
--- /dev/null
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ServiceDispatcher.java
@@ -0,0 +1,108 @@
+package org.dotterelcourse.daemon.dispatch;
+
+import java.time.Duration;
+
+import org.dotterelcourse.daemon.upstream.PlainService;
+import org.dotterelcourse.daemon.upstream.ServiceCall;
+import org.dotterelcourse.daemon.upstream.ServiceReply;
+import org.dotterelcourse.daemon.upstream.UpstreamFailure;
+import org.dotterelcourse.policy.cell.Ask;
+import org.dotterelcourse.policy.retry.Attempt;
+import org.dotterelcourse.policy.retry.RetryDecision;
+import reactor.core.publisher.Mono;
+
+/**
+ * Takes a call to a plain service from the ask to the answer. A call that may not run twice is written to one worker at
+ * most, whatever happens after that.
+ */
+public final class ServiceDispatcher {
+    /** An answer that takes ten times its target is not coming; very short targets get five seconds all the same. */
+    private static final int TIMEOUT_TARGETS = 10;
+
+    private static final long SHORTEST_TIMEOUT_MILLIS = 5_000;
+
+    private final GrantSource grants;
+    private final PlainService service;
+    private final Retries retries;
+
+    /**
+     * Makes a dispatcher.
+     *
+     * @param grants where the leave to use a worker comes from
+     * @param service calls workers
+     * @param retries decides what follows a failure
+     */
+    public ServiceDispatcher(GrantSource grants, PlainService service, Retries retries) {
+        this.grants = grants;
+        this.service = service;
+        this.retries = retries;
+    }
+
+    /**
+     * Runs a call. Cancelling withdraws it, or closes the connection to its worker.
+     *
+     * @param request the call
+     * @return one value, never an error
+     */
+    public Mono<ServiceAnswer> dispatch(ServiceRequest request) {
+        return Mono.defer(() -> attempt(request, Asks.of(request), false));
+    }
+
+    private Mono<ServiceAnswer> attempt(ServiceRequest request, Ask ask, boolean mayHaveRun) {
+        return grants.ask(request.requestClass().upstream(), ask).flatMap(result -> {
+            if (result instanceof GrantResult.Granted granted) {
+                return use(request, ask, granted.grant(), mayHaveRun);
+            }
+            return Mono.just(new ServiceAnswer.Failed(Refusals.failure((GrantResult.Refused) result, mayHaveRun)));
+        });
+    }
+
+    private Mono<ServiceAnswer> use(ServiceRequest request, Ask ask, Grant grant, boolean mayHaveRun) {
+        return Mono.using(
+                GrantUse::new,
+                use -> grants.mayUse(grant)
+                        .flatMap(usable -> usable
+                                ? send(request, ask, grant, use, mayHaveRun)
+                                : attempt(request, ask, mayHaveRun)),
+                use -> use.release(grants, grant));
+    }
+
+    private Mono<ServiceAnswer> send(ServiceRequest request, Ask ask, Grant grant, GrantUse use, boolean mayHaveRun) {
+        return service.call(call(request, grant))
+                .doOnNext(reply -> {
+                    use.add(reply);
+                    // Before the next attempt asks: see ChatDispatcher.
+                    use.release(grants, grant);
+                })
+                .flatMap(reply -> next(request, ask, grant, reply, mayHaveRun));
+    }
+
+    private Mono<ServiceAnswer> next(
+            ServiceRequest request, Ask ask, Grant grant, ServiceReply reply, boolean mayHaveRun) {
+        String upstream = request.requestClass().upstream();
+        if (reply instanceof ServiceReply.Answered answered) {
+            retries.succeeded(upstream);
+            return Mono.just(new ServiceAnswer.Answered(answered.status(), answered.contentType(), answered.body()));
+        }
+        UpstreamFailure failure = ((ServiceReply.Failed) reply).failure();
+        boolean mayHaveRunNow = mayHaveRun || !failure.notRun();
+        Attempt attempt = Retries.attempt(grant.worker().name(), failure, 0);
+        if (retries.decide(upstream, ask, attempt, false) instanceof RetryDecision.Elsewhere elsewhere) {
+            return attempt(request, elsewhere.ask(), mayHaveRunNow);
+        }
+        return Mono.just(new ServiceAnswer.Failed(Refusals.failure(failure, mayHaveRunNow)));
+    }
+
+    private static ServiceCall call(ServiceRequest request, Grant grant) {
+        long target = request.requestClass().targetMillis();
+        return new ServiceCall(
+                grant.worker().address(),
+                request.id(),
+                request.method(),
+                request.path(),
+                request.contentType(),
+                request.body(),
+                request.requestClass().idempotent(),
+                Duration.ofMillis(Math.max(SHORTEST_TIMEOUT_MILLIS, target * TIMEOUT_TARGETS)));
+    }
+}
