--- /dev/null
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/UpstreamFaultsTest.java
@@ -0,0 +1,99 @@
+package org.dotterelcourse.it;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import org.dotterelcourse.standins.Fault;
+import org.dotterelcourse.standins.LoadResult;
+import org.dotterelcourse.standins.ProxyLink;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Real daemons while upstreams and the way to them fail, judged by what callers receive and what upstreams ran. */
+final class UpstreamFaultsTest {
+    private Fleet fleet;
+
+    @BeforeEach
+    void start() {
+        fleet = new Fleet(4, 2).daemons(2);
+    }
+
+    @AfterEach
+    void close() {
+        fleet.close();
+    }
+
+    // Answers come late and out of order, and a middlebox resets connections to engines again and again. Each of
+    // hundreds of callers must get its own whole answer, never a part of another's.
+    @Test
+    void everyCallerGetsItsOwnWholeAnswerWhileConnectionsToEnginesAreCut() {
+        for (int i = 1; i <= 4; i++) {
+            fleet.proxy().link("llm-" + i).delay(Duration.ZERO, Duration.ofMillis(30));
+        }
+        CompletableFuture<LoadResult> load = fleet.load(120, 4, 20, 120);
+        for (int i = 1; i <= 4; i++) {
+            fleet.awaitRunning(8);
+            fleet.proxy().link("llm-" + i).cut();
+        }
+        LoadResult result = load.join();
+        assertThat(result.clean()).as(result.table()).isTrue();
+        assertAllAnswered(result, Documents.QUESTION, Documents.SUMMARY, Documents.CHECK, Documents.PAYOUT);
+    }
+
+    // An engine's process dies in the middle of many answers. Callers must notice nothing where the work may be done
+    // again, and where it may not they must be told so.
+    @Test
+    void theAnswersOfAnEngineThatCrashesAreFinishedByOthers() {
+        CompletableFuture<LoadResult> load = fleet.load(60, 4, 100, 300);
+        Await.until("the engine is busy", () -> fleet.engine(1).running() >= 4);
+        fleet.engine(1).fault(Fault.of(Fault.Kind.CRASH));
+        LoadResult result = load.join();
+        assertThat(result.clean()).as(result.table()).isTrue();
+        assertAllAnswered(result, Documents.QUESTION, Documents.SUMMARY, Documents.CHECK, Documents.PAYOUT);
+        assertThat(result.of(Documents.SIGNED).cut()).as(result.table()).isZero();
+    }
+
+    // Something between a daemon and an engine loses track of the open connections: they go silent for good, while new
+    // ones work. A caller would wait for ever for the rest of its answer.
+    @Test
+    void connectionsToAnEngineThatGoSilentAreGivenUpAndTheirAnswersFinished() {
+        CompletableFuture<LoadResult> load = fleet.load(60, 4, 100, 300);
+        Await.until("the engine is busy", () -> fleet.engine(2).running() >= 4);
+        fleet.proxy().link("llm-2").silenceOpen(ProxyLink.Direction.BOTH);
+        LoadResult result = load.join();
+        assertThat(result.clean()).as(result.table()).isTrue();
+        assertAllAnswered(result, Documents.QUESTION, Documents.SUMMARY, Documents.CHECK, Documents.PAYOUT);
+    }
+
+    // Connections to a plain service are reset while payouts run there. Whether such a payout ran is not known; nobody
+    // may run it a second time, and nobody may say that it was not run.
+    @Test
+    void aCallThatMayNotBeRepeatedRunsAtMostOnceWhenItsConnectionIsCut() {
+        fleet.proxy().link("api-1").delay(Duration.ofMillis(40), Duration.ofMillis(40));
+        CompletableFuture<LoadResult> load = fleet.load(50, 6, 5, 10);
+        // Few enough that the retry budget, a tenth of the successes and a small reserve, covers what is repeated.
+        for (int i = 0; i < 6; i++) {
+            long passed = fleet.proxy().link("api-1").counts().passed();
+            Await.until(
+                    "calls pass",
+                    () -> load.isDone() || fleet.proxy().link("api-1").counts().passed() > passed);
+            fleet.proxy().link("api-1").cut();
+        }
+        LoadResult result = load.join();
+        assertThat(result.clean()).as(result.table()).isTrue();
+        assertThat(result.of(Documents.PAYOUT).answered()).isPositive();
+        assertAllAnswered(result, Documents.CHECK, Documents.QUESTION);
+    }
+
+    static void assertAllAnswered(LoadResult result, String... classes) {
+        for (String each : classes) {
+            assertThat(result.of(each).sent()).isPositive();
+            assertThat(result.of(each).answered())
+                    .as(each + "\n" + result.table())
+                    .isEqualTo(result.of(each).sent());
+        }
+    }
+}
