--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ClassSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ClassSection.java
@@ -18,14 +18,28 @@
     static final String MAX_WAITING = "max-waiting";
     static final String MAX_OUTPUT_TOKENS = "max-output-tokens";
 
-    private static final int TIERS = 4;
-    private static final long LONGEST_TARGET_MILLIS = 86_400_000;
-    private static final long LONGEST_INTERVAL_MILLIS = 60_000;
-    private static final long MOST_WAITING = 1_000_000;
-    private static final long MOST_TOKENS = 1_000_000;
+    private static final Value<Long> TIER_VALUE = Value.integer(1, 4);
+    private static final Value<Long> TARGET_MILLIS = Value.integer(1, 86_400_000);
+    private static final Value<Long> INTERVAL_MILLIS = Value.integer(0, 60_000);
+    private static final Value<Double> SHARE = Value.decimal(0, 1);
+    private static final Value<Long> WAITING = Value.integer(1, 1_000_000);
+    private static final Value<Long> TOKENS = Value.integer(1, 1_000_000);
     private static final long DEFAULT_WAITING = 1_000;
     private static final long DEFAULT_TOKENS = 1_024;
 
+    private static final List<String> KEYS = List.of(
+            UPSTREAM,
+            MODEL,
+            VERSION,
+            TIER,
+            TARGET,
+            TOKEN_INTERVAL,
+            IDEMPOTENT,
+            LATE_IS_USELESS,
+            MINIMUM_SHARE,
+            MAX_WAITING,
+            MAX_OUTPUT_TOKENS);
+
     @Override
     public String word() {
         return "class";
@@ -33,18 +47,7 @@
 
     @Override
     public List<String> keys() {
-        return List.of(
-                UPSTREAM,
-                MODEL,
-                VERSION,
-                TIER,
-                TARGET,
-                TOKEN_INTERVAL,
-                IDEMPOTENT,
-                LATE_IS_USELESS,
-                MINIMUM_SHARE,
-                MAX_WAITING,
-                MAX_OUTPUT_TOKENS);
+        return KEYS;
     }
 
     @Override
@@ -52,15 +55,15 @@
         String upstream = in.required(UPSTREAM, Value.NAMED);
         String model = in.optional(MODEL, Value.MODEL_NAME, "");
         String version = in.optional(VERSION, Value.MODEL_NAME, "");
-        int tier = in.required(TIER, Value.integer(1, TIERS)).intValue();
-        long target = in.required(TARGET, Value.integer(1, LONGEST_TARGET_MILLIS));
-        long interval = in.optional(TOKEN_INTERVAL, Value.integer(0, LONGEST_INTERVAL_MILLIS), 0L);
+        int tier = in.required(TIER, TIER_VALUE).intValue();
+        long target = in.required(TARGET, TARGET_MILLIS);
+        long interval = in.optional(TOKEN_INTERVAL, INTERVAL_MILLIS, 0L);
         boolean idempotent = in.required(IDEMPOTENT, Value.BOOLEAN);
         boolean lateIsUseless = in.optional(LATE_IS_USELESS, Value.BOOLEAN, false);
-        double share = in.optional(MINIMUM_SHARE, Value.decimal(0, 1), 0.0);
-        long waiting = in.optional(MAX_WAITING, Value.integer(1, MOST_WAITING), DEFAULT_WAITING);
+        double share = in.optional(MINIMUM_SHARE, SHARE, 0.0);
+        long waiting = in.optional(MAX_WAITING, WAITING, DEFAULT_WAITING);
         long fewest = model.isEmpty() ? 1 : DEFAULT_TOKENS;
-        long tokens = in.optional(MAX_OUTPUT_TOKENS, Value.integer(1, MOST_TOKENS), fewest);
+        long tokens = in.optional(MAX_OUTPUT_TOKENS, TOKENS, fewest);
         return new RequestClass(
                 in.name(),
                 upstream,
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/CustomerSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/CustomerSection.java
@@ -12,8 +12,10 @@
     static final String REQUESTS_PER_SECOND = "requests-per-second";
     static final String TOKENS_PER_SECOND = "tokens-per-second";
 
-    private static final double LEAST_RATE = 0.001;
-    private static final double HIGHEST_RATE = 1_000_000_000;
+    private static final Value<Double> RATE = Value.decimal(0.001, 1_000_000_000);
+
+    private static final List<String> KEYS =
+            List.of(KEY_SHA256, CLASSES, DEFAULT_CLASS, REQUESTS_PER_SECOND, TOKENS_PER_SECOND);
 
     @Override
     public String word() {
@@ -22,7 +24,7 @@
 
     @Override
     public List<String> keys() {
-        return List.of(KEY_SHA256, CLASSES, DEFAULT_CLASS, REQUESTS_PER_SECOND, TOKENS_PER_SECOND);
+        return KEYS;
     }
 
     @Override
@@ -32,8 +34,8 @@
                 in.required(KEY_SHA256, Value.DIGEST),
                 in.required(CLASSES, Value.NAMES),
                 in.required(DEFAULT_CLASS, Value.NAMED),
-                in.required(REQUESTS_PER_SECOND, Value.decimal(LEAST_RATE, HIGHEST_RATE)),
-                in.required(TOKENS_PER_SECOND, Value.decimal(LEAST_RATE, HIGHEST_RATE)));
+                in.required(REQUESTS_PER_SECOND, RATE),
+                in.required(TOKENS_PER_SECOND, RATE));
     }
 
     @Override
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/UpstreamSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/UpstreamSection.java
@@ -12,10 +12,14 @@
     static final String CONCURRENCY = "concurrency";
     static final String LOADS_PER_MINUTE = "loads-per-minute";
 
-    private static final long MOST_CONCURRENCY = 100_000;
-    private static final long MOST_LOADS_PER_MINUTE = 10_000;
+    private static final Value<Upstream.Kind> KIND_VALUE = Value.oneOf(Upstream.Kind.class);
+    private static final Value<Upstream.Fencing> FENCING_VALUE = Value.oneOf(Upstream.Fencing.class);
+    private static final Value<Long> CONCURRENCY_VALUE = Value.integer(1, 100_000);
+    private static final Value<Long> LOADS = Value.integer(0, 10_000);
     private static final long DEFAULT_LOADS_PER_MINUTE = 6;
 
+    private static final List<String> KEYS = List.of(KIND, REGION, FENCING, CONCURRENCY, LOADS_PER_MINUTE);
+
     @Override
     public String word() {
         return "upstream";
@@ -23,19 +27,17 @@
 
     @Override
     public List<String> keys() {
-        return List.of(KIND, REGION, FENCING, CONCURRENCY, LOADS_PER_MINUTE);
+        return KEYS;
     }
 
     @Override
     public Upstream read(SectionReader in) {
-        Upstream.Kind kind = in.required(KIND, Value.oneOf(Upstream.Kind.class));
+        Upstream.Kind kind = in.required(KIND, KIND_VALUE);
         String region = in.required(REGION, Value.NAMED);
-        Upstream.Fencing fencing = in.optional(FENCING, Value.oneOf(Upstream.Fencing.class), Upstream.Fencing.IGNORED);
-        int concurrency =
-                in.required(CONCURRENCY, Value.integer(1, MOST_CONCURRENCY)).intValue();
+        Upstream.Fencing fencing = in.optional(FENCING, FENCING_VALUE, Upstream.Fencing.IGNORED);
+        int concurrency = in.required(CONCURRENCY, CONCURRENCY_VALUE).intValue();
         long usual = kind == Upstream.Kind.ENGINE ? DEFAULT_LOADS_PER_MINUTE : 0;
-        int loads = in.optional(LOADS_PER_MINUTE, Value.integer(0, MOST_LOADS_PER_MINUTE), usual)
-                .intValue();
+        int loads = in.optional(LOADS_PER_MINUTE, LOADS, usual).intValue();
         if (kind == Upstream.Kind.SERVICE && loads != 0) {
             in.add(LOADS_PER_MINUTE, "0 for a plain service", String.valueOf(loads));
         }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/WorkerSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/WorkerSection.java
@@ -11,6 +11,8 @@
     static final String DATA_CENTRE = "data-centre";
     static final String LEAVING = "leaving";
 
+    private static final List<String> KEYS = List.of(UPSTREAM, ADDRESS, DATA_CENTRE, LEAVING);
+
     @Override
     public String word() {
         return "worker";
@@ -18,7 +20,7 @@
 
     @Override
     public List<String> keys() {
-        return List.of(UPSTREAM, ADDRESS, DATA_CENTRE, LEAVING);
+        return KEYS;
     }
 
     @Override
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/ConfigurationMeasurement.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/ConfigurationMeasurement.java
@@ -1,7 +1,10 @@
 package org.dotterelcourse.configuration;
 
+import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.function.Supplier;
@@ -16,6 +19,7 @@
     private static final int[] CUSTOMERS = {100, 1_000, 5_000, 18_000};
     private static final int WARM_UP_ROUNDS = 20;
     private static final int ROUNDS = 31;
+    private static final long LARGEST_VALUE_BYTES = 1 << 20;
     private static final double NANOS_PER_MILLI = 1e6;
     private static final double BYTES_PER_MEGABYTE = 1 << 20;
     private static final String PATCH = """
@@ -33,9 +37,11 @@
     /**
      * Prints the table.
      *
-     * @param args not used
+     * @param args the path of the document that the customers are added to
+     * @throws IOException if it can't be read
      */
-    public static void main(String[] args) {
+    public static void main(String[] args) throws IOException {
+        String start = Files.readString(Path.of(args[0]));
         System.out.printf(
                 "java %s, %d processors%n",
                 Runtime.version(), Runtime.getRuntime().availableProcessors());
@@ -43,17 +49,18 @@
                 + " | fold allocates MB |");
         System.out.println("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
         for (int customers : CUSTOMERS) {
-            System.out.println(row(customers));
+            System.out.println(row(start, customers));
         }
+        System.out.println("customers that fit a value of 1 MB: " + customersThatFit(start));
     }
 
-    private static String row(int customers) {
+    private static String row(String start, int customers) {
         IniConfigurationReader reader = new IniConfigurationReader();
-        String text = document(customers);
+        String text = document(start, customers);
         double size = text.getBytes(StandardCharsets.UTF_8).length / BYTES_PER_MEGABYTE;
         Cost read = cost(() -> reader.read(1, "whole", text));
         long before = usedHeap();
-        Configuration base = Texts.valid(reader.read(1, "whole", text));
+        Configuration base = valid(reader.read(1, "whole", text));
         double held = (usedHeap() - before) / BYTES_PER_MEGABYTE;
         int[] rate = {1};
         Cost fold = cost(() -> reader.fold(base, 2, "patch", PATCH.formatted(rate[0]++)));
@@ -72,7 +79,7 @@
 
     private static Cost cost(Supplier<Checked<Configuration>> operation) {
         for (int round = 0; round < WARM_UP_ROUNDS; round++) {
-            Texts.valid(operation.get());
+            valid(operation.get());
         }
         ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
         double[] millis = new double[ROUNDS];
@@ -81,7 +88,7 @@
             long start = System.nanoTime();
             Checked<Configuration> result = operation.get();
             millis[round] = (System.nanoTime() - start) / NANOS_PER_MILLI;
-            Texts.valid(result);
+            valid(result);
         }
         long allocated = threads.getCurrentThreadAllocatedBytes() - allocatedBefore;
         Arrays.sort(millis);
@@ -95,13 +102,27 @@
         return runtime.totalMemory() - runtime.freeMemory();
     }
 
-    private static String document(int customers) {
-        StringBuilder text = new StringBuilder(Texts.SMALL);
+    private static Configuration valid(Checked<Configuration> checked) {
+        if (checked instanceof Checked.Invalid<Configuration> invalid) {
+            throw new IllegalStateException(invalid.findings().toString());
+        }
+        return ((Checked.Valid<Configuration>) checked).value();
+    }
+
+    private static long customersThatFit(String start) {
+        long without = document(start, 0).length();
+        long each = document(start, 1).length() - without;
+        return (LARGEST_VALUE_BYTES - without) / each;
+    }
+
+    private static String document(String start, int customers) {
+        StringBuilder text = new StringBuilder(start);
         for (int i = 0; i < customers; i++) {
             String name = "customer-%05d".formatted(i);
             text.append("\n[customer ").append(name).append("]\nkey-sha256 = ").append(ConfigurationText.sha256(name));
-            text.append("\nclasses = chat, lookup\ndefault-class = chat\nrequests-per-second = 12.5");
-            text.append("\ntokens-per-second = 20000\n");
+            text.append("\nclasses = coupon-date-question, payout, redemption-statement, teller-eligibility");
+            text.append("\ndefault-class = teller-eligibility");
+            text.append("\nrequests-per-second = 12.5\ntokens-per-second = 20000\n");
         }
         return text.toString();
     }
