--- a/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/CommandLine.java
+++ b/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/CommandLine.java
@@ -38,6 +38,7 @@
                 .withCommand(ClassesCommand.class)
                 .withCommand(AuditCommand.class)
                 .withCommand(DrainCommand.class)
+                .withCommand(LoadCommand.class)
                 .withCommand(VersionCommand.class);
         builder.withGroup("settings")
                 .withDescription("Daemons' settings files")
--- a/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/CommandLineTest.java
+++ b/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/CommandLineTest.java
@@ -49,6 +49,7 @@
                 "classes",
                 "audit",
                 "drain",
+                "load",
                 "version"
             })
     void everyCommandExplainsItself(String command) {
