--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/ConfigurationRelayService.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/ConfigurationRelayService.java
@@ -111,11 +111,12 @@
         }
     }
 
+    /** The relay has one read under way at most; one that it has given up is dropped. */
     private void answer(Mono<? extends RelayEvent> read, RelayEvent none) {
         reads.update(read.cast(RelayEvent.class)
                 .defaultIfEmpty(none)
                 .onErrorResume(this::failed)
-                .subscribe(driver::submit);
+                .subscribe(driver::submit));
     }
 
     private Mono<RelayEvent> failed(Throwable error) {
