--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/Fleet.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/Fleet.java
@@ -46,9 +46,7 @@
             start(i, name(i), 1);
         }
         list(nodes.keySet());
-        for (int i = 0; i < size; i++) {
-            tell(i, new MembershipEvent.Listed(list));
-        }
+        tellList();
     }
 
     static String name(int node) {
@@ -63,6 +61,12 @@
         list = vms;
     }
 
+    void tellList() {
+        for (int node : List.copyOf(nodes.keySet())) {
+            tell(node, new MembershipEvent.Listed(list));
+        }
+    }
+
     /** Starts a process at a place, in place of any that ran there. */
     void start(int node, String name, long incarnation) {
         Membership membership = Membership.builder()
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipPropertyTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipPropertyTest.java
@@ -146,6 +146,47 @@
         }
     }
 
+    /**
+     * A VM is replaced and the clock of the new one is behind, so that its process starts with a lower incarnation than
+     * the old one had. Its peers would take all it says for old news, and no caller would be sent to it.
+     */
+    @Property(seed = "29", tries = 15)
+    void restartWithAClockThatIsBehindIsTakenIn(
+            @ForAll @IntRange(min = 2, max = 10) int size, @ForAll @IntRange(max = 1_000_000) int seed) {
+        Fleet fleet = new Fleet(size, seed, SETTINGS);
+        fleet.start(0, Fleet.name(0), 1_000_000);
+        fleet.run(20 * SECOND);
+        fleet.start(0, Fleet.name(0), 5);
+        fleet.run(30 * SECOND);
+        assertThat(fleet.superseded).isEmpty();
+        assertThat(fleet.converged(MemberState.ALIVE)).isTrue();
+    }
+
+    /**
+     * A VM is lost and the platform's list no longer has it. Waiting for its word as long as for one that may only be
+     * slow would leave its callers without an answer for longer than needed.
+     */
+    @Property(seed = "30", tries = 15)
+    void suspectThatIsOffTheListIsGivenUpSooner(
+            @ForAll @IntRange(min = 4, max = 10) int size, @ForAll @IntRange(max = 1_000_000) int seed) {
+        long unconfirmed = timeToFirstDeath(size, seed, false);
+        long confirmed = timeToFirstDeath(size, seed, true);
+        assertThat(confirmed).isLessThan(unconfirmed);
+    }
+
+    private static long timeToFirstDeath(int size, int seed, boolean offTheList) {
+        Fleet fleet = new Fleet(size, seed, SETTINGS);
+        fleet.run(20 * SECOND);
+        fleet.stop(0);
+        if (offTheList) {
+            fleet.list(fleet.nodes.keySet());
+            fleet.tellList();
+        }
+        long before = fleet.wire.now();
+        fleet.run(30 * SECOND);
+        return fleet.deaths.get(0).atNanos() - before;
+    }
+
     /**
      * A daemon shuts down. From then on nobody may send it new callers or cells, though it still answers; and a daemon
      * that has been told to leave must not come back to life in any view by a late message.
