--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/FakeWorker.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/FakeWorker.java
@@ -35,6 +35,7 @@
 
     double slowness = 1;
     boolean down;
+    boolean silent;
     int foreign;
     boolean isStepping;
     boolean isReading;
@@ -73,8 +74,8 @@
         return (long) ((prompt + job.resumedFrom) * PREFILL_NANOS_PER_TOKEN * slowness);
     }
 
-    /** All jobs, which the worker loses. */
-    List<Job> crash() {
+    /** Takes away all jobs; none of them gets another token. */
+    List<Job> loseAll() {
         List<Job> lost = new ArrayList<>(decoding);
         lost.addAll(prefilling);
         lost.addAll(waiting);
@@ -84,7 +85,6 @@
         cache.clear();
         isStepping = false;
         isReading = false;
-        down = true;
         life++;
         return lost;
     }
--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Pattern.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Pattern.java
@@ -75,6 +75,14 @@
             trial.at(80 * Workload.SECOND, () -> trial.worker(1).down = false);
         }
     },
+    SILENCE("one worker falls silent at 40 s, its connections time out after 10 s, and it is back at 80 s, at 0.75") {
+        @Override
+        void prepare(Trial trial, Workload load) {
+            load.all(0.75, 0, SECONDS);
+            trial.at(40 * Workload.SECOND, () -> trial.fallSilent(trial.worker(1)));
+            trial.at(80 * Workload.SECOND, () -> trial.worker(1).silent = false);
+        }
+    },
     LATE_REPORTS("reports are five seconds late; others use half of four workers, for 15 s in 30 s, at 0.7") {
         @Override
         void prepare(Trial trial, Workload load) {
--- a/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Trial.java
+++ b/dotterelcourse-experiments/src/main/java/org/dotterelcourse/experiments/Trial.java
@@ -25,6 +25,7 @@
     private static final long TICK_NANOS = 20_000_000L;
     private static final long REPORT_EVERY_NANOS = 1_000_000_000L;
     private static final long FAILING_AFTER_NANOS = 50_000_000L;
+    private static final long TIMEOUT_NANOS = 10_000_000_000L;
     private static final int TOKENS_PER_PROGRESS = 8;
 
     private record Event(long atNanos, long sequence, Runnable action) {}
@@ -98,7 +99,8 @@
 
     void crash(FakeWorker worker) {
         int held = 0;
-        List<Job> lost = worker.crash();
+        List<Job> lost = worker.loseAll();
+        worker.down = true;
         for (Job job : lost) {
             held += job.tokens - job.resumedFrom;
         }
@@ -108,6 +110,23 @@
         }
     }
 
+    /** The worker stops without a word; callers of it notice by their timeouts. */
+    void fallSilent(FakeWorker worker) {
+        worker.silent = true;
+        for (Job job : worker.loseAll()) {
+            tally.heldByCrashed += job.tokens - job.resumedFrom;
+            timeOut(worker, job);
+        }
+    }
+
+    private void timeOut(FakeWorker worker, Job job) {
+        at(nowNanos + TIMEOUT_NANOS, () -> {
+            if (!job.cancelled) {
+                fail(worker, job, Attempt.End.TIMED_OUT);
+            }
+        });
+    }
+
     private void tick(long endNanos) {
         if (nowNanos < endNanos || !open.isEmpty() && nowNanos < 4 * endNanos) {
             at(nowNanos + TICK_NANOS, () -> {
@@ -119,7 +138,7 @@
 
     private void report(long endNanos) {
         for (FakeWorker worker : workers.values()) {
-            if (!worker.down) {
+            if (!worker.down && !worker.silent) {
                 WorkerReport report = new WorkerReport(worker.name, nowNanos, worker.running(), worker.waiting.size());
                 at(nowNanos + reportLagNanos, () -> carryOut(scheduler.report(report, nowNanos)));
             }
@@ -151,6 +170,10 @@
             at(nowNanos, () -> fail(worker, job, Attempt.End.NO_CONNECTION));
             return;
         }
+        if (worker.silent) {
+            timeOut(worker, job);
+            return;
+        }
         if (failures.nextDouble() < failingFraction) {
             at(nowNanos + FAILING_AFTER_NANOS, () -> fail(worker, job, Attempt.End.BROKEN));
             return;
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/admission/DrainRateAdmission.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/admission/DrainRateAdmission.java
@@ -33,7 +33,7 @@
 
     @Override
     public void observe(Ask ask, double work, Completion completion, long nowNanos) {
-        if (completion.outputTokens() == 0 || completion.durationNanos() <= 0) {
+        if (work <= 0 || completion.durationNanos() <= 0) {
             return;
         }
         seen = Math.min(seen + 1, FEWEST_SEEN);
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
@@ -251,11 +251,13 @@
         double charged = charges.remove(ended.grant());
         placement.released(ended, completion, nowNanos);
         Ask ask = ended.ask();
-        boolean ran = completion.outputTokens() > 0;
-        double actual = ran ? ended.candidate().prefillWork() + completion.outputTokens() : 0;
+        boolean isAnswered = completion.end() == Completion.End.ANSWERED;
+        // A plain service's answer has no tokens to count, and is one unit of work.
+        int tokens = isAnswered ? Math.max(1, completion.outputTokens()) : completion.outputTokens();
+        double actual = tokens > 0 ? ended.candidate().prefillWork() + tokens : 0;
         queue.settle(ask.terms().name(), ask.customer(), charged, actual);
-        if (completion.end() == Completion.End.ANSWERED) {
-            estimator.observe(ask.terms(), ask.customer(), ask.resumedTokens() + completion.outputTokens());
+        if (isAnswered) {
+            estimator.observe(ask.terms(), ask.customer(), ask.resumedTokens() + tokens);
             admission.observe(ask, actual, completion, nowNanos);
         }
     }
