No class starves without a share of its own; a share is earned before it is claimed

A class with no minimum share gets a hundredth of the work and its own waiting places. A class is owed service once its credit covers its largest request, no longer from its first, so that a newcomer of a low tier doesn't go before waiting higher ones. The search for a request to preempt runs at most once in 20 ms even when it finds none.

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/CellSettings.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/CellSettings.java
@@ -9,6 +9,7 @@
  *
  * @param maxWaiting how many requests may wait in the shared room of the queue
  * @param guaranteedWaiting how many requests of a class with a minimum share may wait beyond the shared room
+ * @param leastShare the minimum share of a class that has none of its own, so that no class starves
  * @param prefillWeight work of a prompt token, in output tokens
  * @param longJobFactor a request is long when it expects so many times the mean output of the cell
  * @param longJobShare the fraction of a worker's room that long requests may hold while others run
@@ -25,6 +26,7 @@
 public record CellSettings(
         int maxWaiting,
         int guaranteedWaiting,
+        double leastShare,
         double prefillWeight,
         double longJobFactor,
         double longJobShare,
@@ -61,6 +63,7 @@
         private final Set<Mechanism> off = EnumSet.noneOf(Mechanism.class);
         private int maxWaiting = 2_000;
         private int guaranteedWaiting = 8;
+        private double leastShare = 0.01;
         private double prefillWeight = 0.05;
         private double longJobFactor = 4;
         private double longJobShare = 0.5;
@@ -94,6 +97,17 @@
             return this;
         }
 
+        /**
+         * Sets the minimum share of classes that have none of their own.
+         *
+         * @param share fraction of the cell's work; with 0 such a class may starve
+         * @return this
+         */
+        public Builder leastShare(double share) {
+            leastShare = share;
+            return this;
+        }
+
         /**
          * Sets what prompts cost.
          *
@@ -175,6 +189,7 @@
             return new CellSettings(
                     maxWaiting,
                     guaranteedWaiting,
+                    leastShare,
                     prefillWeight,
                     longJobFactor,
                     longJobShare,
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
@@ -28,7 +28,10 @@
  * interface of its own. It has no policy itself but the order in which they are asked.
  */
 public final class TieredScheduler implements CellScheduler {
-    /** At most one request is preempted in this time, so that one wrong forecast can't empty a cell. */
+    /**
+     * In this time a request to preempt is looked for at most once: a wrong forecast can't empty a cell, and a search, which
+     * looks at all that run, isn't paid for by each decision.
+     */
     private static final long PREEMPTION_INTERVAL_NANOS = 20_000_000L;
 
     /** With less of its target left than this fraction, a request is taken to miss it whatever is forecast. */
@@ -45,7 +48,7 @@
     private final Set<String> runningIds = new HashSet<>();
     private long lastGrant;
     private long lastSequence;
-    private long preemptedNanos = Long.MIN_VALUE / 2;
+    private long searchedNanos = Long.MIN_VALUE / 2;
 
     private TieredScheduler(Builder builder) {
         settings = builder.settings;
@@ -190,7 +193,7 @@
     }
 
     private void preempt(List<CellEffect> effects, long nowNanos) {
-        boolean tooSoon = nowNanos - preemptedNanos < PREEMPTION_INTERVAL_NANOS;
+        boolean tooSoon = nowNanos - searchedNanos < PREEMPTION_INTERVAL_NANOS;
         if (tooSoon || !settings.uses(Mechanism.PREEMPTION) || queue.size() == 0) {
             return;
         }
@@ -198,11 +201,11 @@
         if (!wouldMiss(urgent, nowNanos)) {
             return;
         }
+        searchedNanos = nowNanos;
         Optional<Running> victim = preemption.victim(urgent.ask(), running.values());
         if (victim.isEmpty()) {
             return;
         }
-        preemptedNanos = nowNanos;
         Running stopped = victim.get();
         effects.add(new CellEffect.Preempted(stopped.ask().id(), stopped.grant()));
         int tokens = stopped.tokens() - stopped.ask().resumedTokens();
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/ClassAccount.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/ClassAccount.java
@@ -4,9 +4,9 @@
  * What a class has been served against what it was promised, in work.
  *
  * <p>While a class waits it earns its minimum share of all work that the cell serves, and pays for what it is served.
- * It is owed service while its credit isn't negative. Earnings stop at zero while nothing of it waits, else a quiet class
- * would save up and then hold the cell; debts stop at one request's work, else a class that was served well while there
- * was room would pay for it during the next rush.
+ * It is owed service once its credit covers its largest request. Nothing is earned while nothing of it waits, else a
+ * quiet class would save up and then hold the cell; and what it is served in the order of tiers is paid only as far as
+ * the credit goes, else a class that was served well while there was room would pay for it during the next rush.
  */
 final class ClassAccount {
     private double credit;
@@ -27,7 +27,7 @@
     }
 
     void pay(double work) {
-        credit = Math.max(credit - work, -work);
+        credit = Math.min(credit, Math.max(credit - work, 0));
     }
 
     /** Pays for work that turned out more than was paid for, or takes back what was paid too much. */
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/ClassQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/ClassQueue.java
@@ -43,6 +43,7 @@
     private double quantum;
     private double work;
     private int size;
+    private boolean passedForDebt;
 
     ClassQueue(ClassTerms terms, CellSettings settings) {
         this.name = terms.name();
@@ -107,8 +108,10 @@
 
     /** Takes out the next request of this class for which there is a place. */
     <P> Optional<WaitingQueue.Taken<P>> next(Function<Waiting, Optional<P>> placer, boolean owed, long nowNanos) {
+        passedForDebt = false;
         Optional<WaitingQueue.Taken<P>> inTurn = next(placer, owed, true, nowNanos);
-        return inTurn.isPresent() ? inTurn : next(placer, owed, false, nowNanos);
+        boolean isDone = inTurn.isPresent() || !passedForDebt;
+        return isDone ? inTurn : next(placer, owed, false, nowNanos);
     }
 
     /** Corrects a customer's turns when the work of a request has become known. */
@@ -126,6 +129,7 @@
             CustomerQueue queue = first();
             Waiting head = queue.first(nowNanos);
             if (debtsCount && isInDebt(queue, head)) {
+                passedForDebt = true;
                 queue.addDeficit(quantum);
                 endTurn(queue);
                 continue;
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/TieredQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/TieredQueue.java
@@ -238,7 +238,7 @@
     }
 
     private boolean isOwed(ClassQueue queue) {
-        return share(queue.terms()) > 0 && queue.account().credit() >= 0;
+        return share(queue.terms()) > 0 && queue.account().credit() >= queue.quantum();
     }
 
     private void charge(ClassQueue queue, double work) {
@@ -262,7 +262,8 @@
     }
 
     private double share(ClassTerms terms) {
-        return settings.uses(Mechanism.MINIMUM_SHARE) ? terms.minimumShare() : 0;
+        double share = Math.max(terms.minimumShare(), settings.leastShare());
+        return settings.uses(Mechanism.MINIMUM_SHARE) ? share : 0;
     }
 
     private int tier(ClassTerms terms) {
