--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestWatch.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestWatch.java
@@ -23,18 +23,26 @@
     private final String customer;
     private final RequestClass requestClass;
     private final long arrivalNanos;
+    private final RequestEnd listener;
     private final AtomicBoolean ended = new AtomicBoolean();
     private long firstNanos = -1;
     private long lastNanos;
     private int tokens;
     private int lateIntervals;
 
-    RequestWatch(RequestMetrics metrics, String id, String customer, RequestClass requestClass, long arrivalNanos) {
+    RequestWatch(
+            RequestMetrics metrics,
+            String id,
+            String customer,
+            RequestClass requestClass,
+            long arrivalNanos,
+            RequestEnd listener) {
         this.metrics = metrics;
         this.id = id;
         this.customer = customer;
         this.requestClass = requestClass;
         this.arrivalNanos = arrivalNanos;
+        this.listener = listener;
     }
 
     /**
@@ -89,6 +97,7 @@
 
     private void end(Outcome outcome, String reason) {
         if (ended.compareAndSet(false, true)) {
+            listener.ended(outcome, tokens);
             metrics.ended(this, outcome, reason);
         }
     }
