--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/TieredQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/queue/TieredQueue.java
@@ -23,9 +23,9 @@
  * that waits, in it the class that has had least work for its weight.
  *
  * <p>Shares and shedding meet as follows. The shared room of {@link CellSettings#maxWaiting()} places is strict: when
- * it is full, the newest request of the lowest tier in it goes, whoever has come. A class with a minimum share also has
- * {@link CellSettings#guaranteedWaiting()} places of its own. They take nothing from anybody, since no other class could
- * ever use them, and without them a share would be worth nothing in a long rush: nothing of the class would be there to
+ * it is full, the newest request of the lowest tier in it goes, whoever has come. A class with a share, its own or the
+ * least, also has {@link CellSettings#guaranteedWaiting()} places of its own. They take nothing from anybody, since no
+ * other class could ever use them, and without them a share would be worth nothing in a long rush: nothing of the class would be there to
  * be served. Memory is bounded by the shared room and the guaranteed places of the classes.
  */
 public final class TieredQueue implements WaitingQueue {
