--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellMap.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellMap.java
@@ -42,7 +42,10 @@
             if (cell.workers().contains(worker.name())) {
                 workers.put(worker.name(), worker);
                 infos.add(new WorkerInfo(
-                        worker.name(), worker.dataCentre(), upstream.concurrency(), leaving.contains(worker.name())));
+                        worker.name(),
+                        worker.dataCentre(),
+                        upstream.concurrency(),
+                        worker.leaving() || leaving.contains(worker.name())));
             }
         }
         return new CellWorkers(cell, upstream, workers, infos);
