--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/CellClient.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/CellClient.java
@@ -242,7 +242,7 @@
         if (message.body() instanceof GrantMessage.Queued queued) {
             ClientAsk ask = book.find(queued.ask());
             if (ask != null && ask.state() == ClientAsk.State.UNANSWERED) {
-                ask.becomes(ClientAsk.State.QUEUED);
+                ask.queued();
             }
         } else if (message.body() instanceof GrantMessage.Refused refused) {
             ClientAsk ask = book.find(refused.ask());
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/ClientAsk.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/ClientAsk.java
@@ -20,6 +20,7 @@
     }
 
     static final long NO_LEASE = Long.MAX_VALUE;
+    private static final int MAX_DOUBLINGS = 3;
     private static final long NOT_ADOPTED = -1;
 
     private final long number;
@@ -28,6 +29,7 @@
     private final byte[] terms;
     private State state = State.UNANSWERED;
     private long lastSentNanos;
+    private int unansweredTimes;
     private GrantId grant;
     private String worker;
     private long leaseEndsNanos;
@@ -77,6 +79,21 @@
 
     void sentAt(long nowNanos) {
         lastSentNanos = nowNanos;
+        unansweredTimes++;
+    }
+
+    /** The owner has the ask. */
+    void queued() {
+        state = State.QUEUED;
+        unansweredTimes = 0;
+    }
+
+    /**
+     * How long to wait for an answer: doubled with each repetition. An owner that is slow because it has too much to do
+     * would otherwise get each ask many times over, which makes it slower still.
+     */
+    long timeoutNanos(long firstNanos) {
+        return firstNanos << Math.min(MAX_DOUBLINGS, Math.max(0, unansweredTimes - 1));
     }
 
     void granted(GrantId by, String at, long endsNanos) {
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/ClientBook.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/ClientBook.java
@@ -51,13 +51,10 @@
                 waiting.add(ask(ask, nowNanos));
             }
         }
-        int grantParts = parts(grants.size());
-        int askParts = parts(waiting.size());
-        int parts = Math.max(1, grantParts + askParts);
+        int parts = Math.max(1, Math.max(parts(grants.size()), parts(waiting.size())));
         List<GrantMessage.Reregister> messages = new ArrayList<>(parts);
         for (int part = 0; part < parts; part++) {
-            messages.add(new GrantMessage.Reregister(
-                    number, part, parts, slice(grants, part), slice(waiting, part - grantParts)));
+            messages.add(new GrantMessage.Reregister(number, part, parts, slice(grants, part), slice(waiting, part)));
         }
         return messages;
     }
@@ -77,7 +74,7 @@
 
     private static <T> List<T> slice(List<T> list, int part) {
         int from = part * PART;
-        if (part < 0 || from >= list.size()) {
+        if (from >= list.size()) {
             return List.of();
         }
         return List.copyOf(list.subList(from, Math.min(list.size(), from + PART)));
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/OwnerLink.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/OwnerLink.java
@@ -101,7 +101,7 @@
             return;
         }
         for (ClientAsk ask : book.asks().values()) {
-            boolean late = nowNanos - ask.lastSentNanos() >= settings.askTimeoutNanos();
+            boolean late = nowNanos - ask.lastSentNanos() >= ask.timeoutNanos(settings.askTimeoutNanos());
             if (ask.state() == ClientAsk.State.UNANSWERED && late) {
                 ask(ask, nowNanos, effects);
             }
@@ -142,7 +142,7 @@
         for (GrantMessage.Ask sent : part.asks()) {
             ClientAsk ask = book.find(sent.ask());
             if (ask != null && ask.state() == ClientAsk.State.UNANSWERED) {
-                ask.becomes(ClientAsk.State.QUEUED);
+                ask.queued();
             }
         }
     }
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/limit/ClientAccount.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/limit/ClientAccount.java
@@ -52,6 +52,16 @@
         return lastUsedNanos;
     }
 
+    /** Whether nothing is left to do for this customer: no calls lately, nothing asked for and nothing to give back. */
+    boolean quiet(long nowNanos, long idleNanos) {
+        boolean idle = nowNanos - lastUsedNanos > idleNanos;
+        return idle
+                && pending == null
+                && !waiting
+                && !alone()
+                && balance.atLeastNothing().isNothing();
+    }
+
     LimitMessage.Want pending() {
         return pending;
     }
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/limit/LimitClient.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/limit/LimitClient.java
@@ -2,10 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Charges customers' calls to slices of their budgets, which it gets from the customers' homes.
@@ -22,7 +23,8 @@
     private final long life;
     private final LimitSettings settings;
     private final Homes homes;
-    private final Map<String, ClientAccount> accounts = new LinkedHashMap<>();
+    private final Map<String, ClientAccount> accounts = new HashMap<>();
+    private final Set<ClientAccount> active = new LinkedHashSet<>();
     private int members = 1;
     private long lastSequence;
 
@@ -69,7 +71,7 @@
      * @param customer the customer
      */
     public void forget(String customer) {
-        accounts.remove(customer);
+        active.remove(accounts.remove(customer));
     }
 
     /**
@@ -94,6 +96,7 @@
         if (account == null) {
             return new Taking.UnknownCustomer();
         }
+        active.add(account);
         Amount cost = new Amount(1, tokens).atMost(account.budget().burst());
         fillAlone(account, nowNanos);
         List<LimitEffect> effects = new ArrayList<>();
@@ -130,6 +133,7 @@
     public void settle(String customer, Amount charged, long tokens, long nowNanos) {
         ClientAccount account = accounts.get(customer);
         if (account != null) {
+            active.add(account);
             account.spend(new Amount(0, tokens - charged.tokens()), nowNanos);
         }
     }
@@ -165,7 +169,8 @@
     public List<LimitEffect> advance(long nowNanos) {
         List<LimitEffect> effects = new ArrayList<>();
         Map<String, List<LimitMessage.Want>> byHome = new HashMap<>();
-        for (ClientAccount account : accounts.values()) {
+        active.removeIf(account -> account.quiet(nowNanos, settings.idleNanos()));
+        for (ClientAccount account : active) {
             if (!account.alone() && account.unansweredFor(settings.silentAfterNanos(), nowNanos)) {
                 account.goAlone(nowNanos);
             }
