--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/grant/CellClientTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/grant/CellClientTest.java
@@ -124,6 +124,33 @@
                         && register.asks().size() == 1);
     }
 
+    /**
+     * An asker was silent for longer than a lease while its request streamed, and the owner has given the place away. It
+     * has to know again that the worker is busy, or it goes on to grant there.
+     */
+    @Test
+    void aGrantThatTheOwnerHasForgottenIsRegisteredAgain() {
+        long ask = client.ask(0, 10_000, NONE, 10).ask();
+        on("owner", granted(ask, GRANT), 10, 0);
+
+        List<ClientEffect> effects = on("owner", new GrantMessage.Renewed(300, List.of(ask)), 400, 0);
+
+        assertThat(effects)
+                .anyMatch(effect -> sent(effect) instanceof GrantMessage.Reregister register
+                        && register.grants().get(0).held().grant().equals(GRANT));
+    }
+
+    /** A release or a withdrawal crosses the owner's answer to a renewal. Nothing must come back to life by it. */
+    @Test
+    void whatHasEndedIsNotRegisteredAgain() {
+        long ask = client.ask(0, 10_000, NONE, 10).ask();
+        on("owner", granted(ask, GRANT), 10, 0);
+        client.release(ask, NONE, 20);
+
+        assertThat(on("owner", new GrantMessage.Renewed(300, List.of(ask)), 30, 0))
+                .isEmpty();
+    }
+
     /** No owner answers. Callers are served from this member's own fraction, and the owner hears of it later. */
     @Test
     void aSilentOwnerLeadsToLocalModeAndItsReturnEndsIt() {
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/grant/GrantFleetTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/grant/GrantFleetTest.java
@@ -103,6 +103,26 @@
         assertThat(fleet.nodes).noneMatch(GrantNode::localMode);
     }
 
+    /**
+     * The owner pauses again and again for longer than its askers wait, so that they grant by themselves, and wakes up
+     * believing that it owns the queue still. A user notices slower answers, because workers may get up to twice their
+     * share.
+     */
+    @Property(tries = 40, seed = "16", shrinking = ShrinkingMode.OFF)
+    void anOwnerThatPausesAndWakesLeadsToAtMostTwiceTheCapacity(@ForAll long seed) {
+        GrantFleet fleet = new GrantFleet(seed, MEMBERS, settings(600 * MILLI), VIEW_DELAY);
+        fleet.wire.faults(0.05, 0.1, 40 * MILLI);
+        for (int round = 0; round < ROUNDS; round++) {
+            load(fleet, 8);
+            if (round % 8 == 4) {
+                fleet.nodes.get(0).pause((700 + fleet.random.nextLong(1_500)) * MILLI);
+            }
+            fleet.run(250 * MILLI);
+        }
+        assertThat(fleet.mostActive).isBetween(GrantFleet.PLACES, 2 * GrantFleet.PLACES);
+        healsAndDrains(fleet);
+    }
+
     /**
      * Everything at once: heavy loss, pauses longer than a lease, deaths, partitions, changes of owner and local mode.
      * A user would notice a request that ran twice, that ran although it was said not to, or that never got an answer.
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/limit/LimitFleetTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/limit/LimitFleetTest.java
@@ -231,6 +231,25 @@
                 .isGreaterThan(BUDGET.perSecond().tokens() * 20);
     }
 
+    /**
+     * Two daemons are cut off from the home, one after the other, and go on alone while the home gives everything to the
+     * rest. The customer may get up to twice its rate, and no more.
+     */
+    @Property(tries = 30, seed = "36", shrinking = ShrinkingMode.OFF)
+    void membersCutOffFromTheHomeAddAtMostTheRateAgain(@ForAll long seed) {
+        Fleet fleet = new Fleet(seed);
+        fleet.run(5_000 * MILLI, 6);
+        Amount before = fleet.charged;
+        long since = fleet.now;
+        fleet.wire.side("entry-2", 1);
+        fleet.run(7_000 * MILLI, 6);
+        fleet.wire.side("entry-3", 2);
+        fleet.run(20_000 * MILLI, 6);
+        assertThat(fleet.nodes.get(2).client.alone(CUSTOMER)).isTrue();
+        assertThat(fleet.nodes.get(3).client.alone(CUSTOMER)).isTrue();
+        fleet.within(2, since, before);
+    }
+
     /** A customer stops calling at one daemon; the rest of its slice is of use to the others. */
     @Property(tries = 10, seed = "35", shrinking = ShrinkingMode.OFF)
     void anIdleDaemonGivesTheRestOfItsSliceBack(@ForAll long seed) {
