--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/CellOwner.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/grant/CellOwner.java
@@ -354,8 +354,9 @@
         }
 
         /**
-         * Sets the askers that may hold grants of earlier owners: all live members. Once each has registered, the owner
-         * settles without waiting for the rest of the settle time; when they aren't set, it waits for all of it.
+         * Sets the askers that may hold grants of earlier owners: all live members, each of which needs a {@link
+         * CellClient} for the cell from its start. Once each has registered, the owner settles without waiting for the
+         * rest of the settle time; when they aren't set, it waits for all of it.
          *
          * @param askers their member names
          * @return this
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/ticket/TicketMintTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/ticket/TicketMintTest.java
@@ -71,6 +71,30 @@
         assertThat(verdict(desk.spend(first, "a", 100))).isInstanceOf(TicketVerdict.Expired.class);
     }
 
+    /**
+     * A daemon tells, late and wrongly, that a call did not run which another daemon is running. Believed, the caller
+     * would hear "not run" of a payout that is made.
+     */
+    @Test
+    void onlyTheDaemonThatMayRunTheCallCanTellWhatBecameOfIt() {
+        String token = minted("a", 0);
+        desk.on("entry-3", new TicketMessage(1, 8, new TicketMessage.Spend(token, "a")), 1);
+        TicketOutcome notRun = new TicketOutcome(TicketOutcome.Result.NOT_RUN, new byte[0]);
+
+        desk.on("entry-2", new TicketMessage(1, 8, new TicketMessage.Report(token, notRun)), 2);
+        desk.on("entry-3", new TicketMessage(2, 8, new TicketMessage.Report(token, notRun)), 3);
+        assertThat(verdict(desk.spend(token, "a", 4))).isEqualTo(new TicketVerdict.AlreadySpent(Optional.empty()));
+
+        desk.on("entry-3", new TicketMessage(1, 8, new TicketMessage.Report(token, notRun)), 5);
+        assertThat(verdict(desk.spend(token, "a", 6))).isInstanceOf(TicketVerdict.Burned.class);
+    }
+
+    @Test
+    void bytesOfAnotherProtocolAreMalformed() {
+        assertThat(TicketCodec.decode(new byte[] {(byte) 0xff, 1})).isInstanceOf(TicketCodec.Decoded.Malformed.class);
+        assertThat(TicketCodec.decode(new byte[0])).isInstanceOf(TicketCodec.Decoded.Malformed.class);
+    }
+
     /** A caller that lost the answer wants to be sure that its call never runs. */
     @Test
     void aBurnedTicketNeverRuns() {
