--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
@@ -138,6 +138,13 @@
         });
     }
 
+    /** How often each request ran at all services together. */
+    Map<String, Integer> runs() {
+        Map<String, Integer> all = new LinkedHashMap<>();
+        services.values().forEach(each -> each.runs().forEach((id, count) -> all.merge(id, count, Integer::sum)));
+        return all;
+    }
+
     /** Waits until engines generate tokens for a number of requests at once. */
     void awaitRunning(int requests) {
         Await.until(
--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/UpstreamFaultsTest.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/UpstreamFaultsTest.java
@@ -88,6 +88,22 @@
         assertAllAnswered(result, Documents.CHECK, Documents.QUESTION);
     }
 
+    // An engine is about to be taken away and refuses new work. It must get none after a few seconds, and no caller may
+    // notice.
+    @Test
+    void anEngineThatIsLeavingGetsNoNewWorkAndNoCallerNotices() {
+        CompletableFuture<LoadResult> load = fleet.load(40, 10, 50, 150);
+        Await.until("the engine is busy", () -> fleet.engine(3).running() >= 2);
+        fleet.engine(3).fault(Fault.of(Fault.Kind.LEAVING));
+        Await.until("the engine is empty", () -> fleet.engine(3).running() == 0 || load.isDone());
+        assertThat(load).isNotDone();
+        int started = fleet.engine(3).stats().size();
+        LoadResult result = load.join();
+        assertThat(fleet.engine(3).stats()).hasSize(started);
+        assertThat(result.clean()).as(result.table()).isTrue();
+        assertAllAnswered(result, Documents.QUESTION, Documents.SUMMARY, Documents.SIGNED);
+    }
+
     static void assertAllAnswered(LoadResult result, String... classes) {
         for (String each : classes) {
             assertThat(result.of(each).sent()).isPositive();
