--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/DaemonLifecycleTest.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/DaemonLifecycleTest.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.dotterelcourse.standins.ClassResult;
+import org.dotterelcourse.standins.Fault;
 import org.dotterelcourse.standins.LoadResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -101,6 +102,27 @@
         assertMostAnswered(result);
     }
 
+    // A burst arrives while one VM is lost, another one pauses and an engine crashes. Much may be refused or left open,
+    // but no answer may be mixed or end early, no payout may run twice, and "not run" must be true.
+    @Test
+    void severalFailuresAtOnceInABurstRunNothingTwiceAndMixNothing() {
+        List<DaemonProcess> daemons = fleet.daemons();
+        CompletableFuture<LoadResult> load = fleet.load(150, 6, 50, 200);
+        fleet.awaitRunning(20);
+        daemons.get(0).signal("KILL");
+        daemons.get(1).signal("STOP");
+        try {
+            fleet.engine(1).fault(Fault.of(Fault.Kind.CRASH));
+            fleet.remove(daemons.get(0));
+            Await.until("the survivor notices", () -> daemons.get(2).aliveMembers() == 1);
+        } finally {
+            daemons.get(1).signal("CONT");
+        }
+        LoadResult result = load.join();
+        assertThat(result.clean()).as(result.table()).isTrue();
+        assertMostAnswered(result);
+    }
+
     private static void assertMostAnswered(LoadResult result) {
         long sent = result.classes().stream().mapToLong(ClassResult::sent).sum();
         long answered =
--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Documents.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Documents.java
@@ -145,7 +145,7 @@
                 + "{\"name\":\"" + CHECK + "\",\"weight\":2,\"service\":\"counter-api\",\"path\":\"check\"" + tokens
                 + "},"
                 + "{\"name\":\"" + PAYOUT + "\",\"weight\":1,\"service\":\"counter-api\",\"path\":\"pay/out\","
-                + "\"idempotent\":false" + tokens + "}]";
+                + "\"idempotent\":false,\"tickets\":true" + tokens + "}]";
     }
 
     private static String worker(String name, String upstream, String address) {
--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
@@ -18,6 +18,7 @@
 import org.dotterelcourse.standins.LoadGenerator;
 import org.dotterelcourse.standins.LoadResult;
 import org.dotterelcourse.standins.LoadSpec;
+import org.dotterelcourse.standins.RequestCount;
 import org.dotterelcourse.standins.ServiceStandIn;
 import org.dotterelcourse.standins.VmListStandIn;
 
@@ -147,9 +148,20 @@
 
     /** Waits until engines generate tokens for a number of requests at once. */
     void awaitRunning(int requests) {
-        Await.until(
-                requests + " requests run",
-                () -> engines.values().stream().mapToInt(EngineStandIn::running).sum() >= requests);
+        Await.until(requests + " requests run", () -> running() >= requests);
+    }
+
+    /** How many requests all engines together work on. */
+    int running() {
+        return engines.values().stream().mapToInt(EngineStandIn::running).sum();
+    }
+
+    /** How many tokens all engines together have generated. */
+    long generated() {
+        return engines.values().stream()
+                .flatMap(each -> each.stats().values().stream())
+                .mapToLong(RequestCount::generated)
+                .sum();
     }
 
     @Override
--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/UpstreamFaultsTest.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/UpstreamFaultsTest.java
@@ -1,5 +1,8 @@
 package org.dotterelcourse.it;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
@@ -104,6 +107,23 @@
         assertAllAnswered(result, Documents.QUESTION, Documents.SUMMARY, Documents.SIGNED);
     }
 
+    // A caller closes its page in the middle of a long answer. The engine must stop working on it, or its places fill
+    // with answers that nobody reads.
+    @Test
+    void aCallerThatGoesAwayEndsItsWorkAtTheEngine() throws IOException {
+        String[] address = fleet.daemons().get(0).callers().split(":");
+        String body = "{\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"[[tokens=1900]]\"}]}";
+        try (Socket caller = new Socket(address[0], Integer.parseInt(address[1]))) {
+            String request = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Documents.KEY
+                    + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            assertThat(caller.getInputStream().read()).isPositive();
+            fleet.awaitRunning(1);
+        }
+        Await.until("the engines are empty", () -> fleet.running() == 0);
+        assertThat(fleet.generated()).isLessThan(1900);
+    }
+
     static void assertAllAnswered(LoadResult result, String... classes) {
         for (String each : classes) {
             assertThat(result.of(each).sent()).isPositive();
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/LoadCaller.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/LoadCaller.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.standins;
 
 import java.net.ConnectException;
+import java.time.Duration;
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,6 +17,9 @@
 /** Sends one request as a caller does and finds out what became of it. */
 final class LoadCaller {
     private static final int OK = 200;
+    private static final Duration MINT_LIMIT = Duration.ofSeconds(3);
+
+    private record Sent(Arrivals.Arrival arrival, long startNanos, String ticket) {}
 
     private final HttpClient client;
     private final AddressCache addresses;
@@ -32,17 +36,50 @@
     }
 
     Mono<CallOutcome> call(Arrivals.Arrival arrival, long startNanos) {
-        return addresses.addresses(arrival.key()).flatMap(list -> callFirst(arrival, startNanos, list, 0));
+        return addresses.addresses(arrival.key()).flatMap(list -> {
+            if (!arrival.requestClass().tickets()) {
+                return callFirst(new Sent(arrival, startNanos, ""), list, 0);
+            }
+            return mint(arrival, list)
+                    .flatMap(ticket -> callTwice(new Sent(arrival, startNanos, ticket), list))
+                    .defaultIfEmpty(new CallOutcome.NotRun("no ticket"));
+        });
+    }
+
+    /** Asks the daemons for a ticket one after the other; nothing can have run before the ticket is used. */
+    private Mono<String> mint(Arrivals.Arrival arrival, List<String> list) {
+        return Flux.fromIterable(list).concatMap(each -> mintAt(arrival, each)).next();
+    }
+
+    private Mono<String> mintAt(Arrivals.Arrival arrival, String address) {
+        return client.headers(headers -> headers.set("Authorization", "Bearer " + arrival.key()))
+                .post()
+                .uri("http://" + address + "/v1/tickets")
+                .responseSingle((response, body) -> body.asString())
+                .timeout(MINT_LIMIT)
+                .map(text -> Json.parse(text).path("ticket").asText(""))
+                .onErrorReturn("")
+                .filter(ticket -> !ticket.isEmpty());
+    }
+
+    /** Asks another daemon with the same ticket when the first one can't tell what became of the request. */
+    private Mono<CallOutcome> callTwice(Sent sent, List<String> list) {
+        return callFirst(sent, list, 0).flatMap(outcome -> {
+            if (!(outcome instanceof CallOutcome.Unknown) || list.size() < 2) {
+                return Mono.just(outcome);
+            }
+            return callFirst(sent, list, 1);
+        });
     }
 
     /** Only a connection that was never made leads to the next address: then nothing can have been sent. */
-    private Mono<CallOutcome> callFirst(Arrivals.Arrival arrival, long startNanos, List<String> list, int index) {
-        return callOne(arrival, startNanos, list.get(index)).onErrorResume(error -> {
+    private Mono<CallOutcome> callFirst(Sent sent, List<String> list, int index) {
+        return callOne(sent, list.get(index)).onErrorResume(error -> {
             if (!neverConnected(error)) {
                 return Mono.just(new CallOutcome.Unknown(error.getClass().getSimpleName(), false));
             }
             if (index + 1 < list.size()) {
-                return callFirst(arrival, startNanos, list, index + 1);
+                return callFirst(sent, list, index + 1);
             }
             return Mono.just(new CallOutcome.NotRun("no daemon connects"));
         });
@@ -52,13 +89,16 @@
         return error instanceof ConnectException || error instanceof ConnectTimeoutException;
     }
 
-    private Mono<CallOutcome> callOne(Arrivals.Arrival arrival, long startNanos, String address) {
+    private Mono<CallOutcome> callOne(Sent sent, String address) {
+        Arrivals.Arrival arrival = sent.arrival;
         LoadClass requestClass = arrival.requestClass();
-        HttpClient.RequestSender sender = client.headers(
-                        headers -> headers.set("Authorization", "Bearer " + arrival.key())
-                                .set("X-Request-Class", requestClass.name())
-                                .set(Replies.REQUEST_ID, requestId(arrival))
-                                .set("Content-Type", "application/json"))
+        HttpClient authorized =
+                sent.ticket.isEmpty() ? client : client.headers(headers -> headers.set("X-Ticket", sent.ticket));
+        HttpClient.RequestSender sender = authorized
+                .headers(headers -> headers.set("Authorization", "Bearer " + arrival.key())
+                        .set("X-Request-Class", requestClass.name())
+                        .set(Replies.REQUEST_ID, requestId(arrival))
+                        .set("Content-Type", "application/json"))
                 .post();
         byte[] body = requestClass.plain() ? plainBody(arrival) : Json.utf8(Json.text(chatBody(arrival)));
         String path = requestClass.plain()
@@ -66,7 +106,7 @@
                 : "/v1/chat/completions";
         return sender.uri("http://" + address + path)
                 .send(Mono.just(Unpooled.wrappedBuffer(body)))
-                .response((response, bytes) -> answer(arrival, startNanos, response, bytes))
+                .response((response, bytes) -> answer(arrival, sent.startNanos, response, bytes))
                 .next();
     }
 
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/LoadClass.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/LoadClass.java
@@ -16,6 +16,7 @@
  * @param targetMillis the target: first token of a streamed answer, else the whole call
  * @param tokenIntervalMillis the target for the 95th percentile between tokens of a streamed answer, 0 for none
  * @param idempotent whether a request may run more than once
+ * @param tickets whether callers mint a ticket for each request and repeat it elsewhere when its connection breaks
  * @param streamed whether chat completions are streamed
  * @param leastTokens the shortest answer, in tokens
  * @param mostTokens the longest answer, in tokens
@@ -31,6 +32,7 @@
         long targetMillis,
         long tokenIntervalMillis,
         boolean idempotent,
+        boolean tickets,
         boolean streamed,
         int leastTokens,
         int mostTokens,
@@ -53,6 +55,7 @@
                 node.path("targetMillis").asLong(1_000),
                 node.path("tokenIntervalMillis").asLong(0),
                 node.path("idempotent").asBoolean(true),
+                node.path("tickets").asBoolean(false),
                 node.path("stream").asBoolean(true),
                 node.path("leastTokens").asInt(16),
                 node.path("mostTokens").asInt(128),
