--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Documents.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Documents.java
@@ -58,7 +58,7 @@
             [class teller-eligibility]
             upstream = counter-api
             tier = 1
-            target-ms = 30000
+            target-ms = 2000
             idempotent = true
             late-is-useless = false
             minimum-share = 0.4
@@ -67,7 +67,7 @@
             [class payout]
             upstream = counter-api
             tier = 1
-            target-ms = 30000
+            target-ms = 2000
             idempotent = false
             late-is-useless = false
             minimum-share = 0.4
--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
@@ -18,6 +18,7 @@
 import org.dotterelcourse.standins.LoadGenerator;
 import org.dotterelcourse.standins.LoadResult;
 import org.dotterelcourse.standins.LoadSpec;
+import org.dotterelcourse.standins.ProxyLink;
 import org.dotterelcourse.standins.RequestCount;
 import org.dotterelcourse.standins.ServiceStandIn;
 import org.dotterelcourse.standins.VmListStandIn;
@@ -151,6 +152,12 @@
         Await.until(requests + " requests run", () -> running() >= requests);
     }
 
+    /** Makes all connections that are open between daemons and upstreams silent for good; new ones work. */
+    void silenceOpenConnections() {
+        engineLinks.keySet().forEach(each -> proxy.link(each).silenceOpen(ProxyLink.Direction.BOTH));
+        serviceLinks.keySet().forEach(each -> proxy.link(each).silenceOpen(ProxyLink.Direction.BOTH));
+    }
+
     /** How many requests all engines together work on. */
     int running() {
         return engines.values().stream().mapToInt(EngineStandIn::running).sum();
--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/UpstreamFaultsTest.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/UpstreamFaultsTest.java
@@ -71,6 +71,18 @@
         assertAllAnswered(result, Documents.QUESTION, Documents.SUMMARY, Documents.CHECK, Documents.PAYOUT);
     }
 
+    // A middlebox forgets all connections between daemons and upstreams while some lie idle in pools. The next callers'
+    // requests go into them and are lost without a word; each must still get its answer.
+    @Test
+    void pooledConnectionsThatWentSilentWhileIdleCostNoAnswer() {
+        fleet.load(30, 2, 5, 20).join();
+        fleet.silenceOpenConnections();
+        LoadResult result = fleet.load(30, 3, 5, 20).join();
+        assertThat(result.clean()).as(result.table()).isTrue();
+        assertAllAnswered(
+                result, Documents.QUESTION, Documents.SUMMARY, Documents.SIGNED, Documents.CHECK, Documents.PAYOUT);
+    }
+
     // Connections to a plain service are reset while payouts run there. Whether such a payout ran is not known; nobody
     // may run it a second time, and nobody may say that it was not run.
     @Test
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/LoadCaller.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/LoadCaller.java
@@ -132,11 +132,10 @@
     }
 
     private static CallOutcome refusal(HttpClientResponse response, String text) {
-        String outcome = response.responseHeaders().get("X-Outcome", "");
-        String reason = Integer.toString(response.status().code());
-        if (outcome.isEmpty() && text.startsWith("{")) {
-            outcome = Json.parse(text).path("outcome").asText("");
-        }
+        JsonNode problem = Json.parse(text.startsWith("{") ? text : "{}");
+        String outcome = response.responseHeaders()
+                .get("X-Outcome", problem.path("outcome").asText(""));
+        String reason = response.status().code() + " " + problem.path("title").asText("");
         return outcome.equals("not-run") ? new CallOutcome.NotRun(reason) : new CallOutcome.Unknown(reason, false);
     }
 
@@ -157,7 +156,8 @@
         }
         if (check.problem() != null) {
             JsonNode problem = Json.parse(check.problem());
-            String reason = "event " + problem.path("status").asText();
+            String reason = "event " + problem.path("status").asText() + " "
+                    + problem.path("title").asText("");
             return problem.path("outcome").asText().equals("not-run")
                     ? new CallOutcome.NotRun(reason)
                     : new CallOutcome.Unknown(reason, false);
