Print the document a patch results in; report a wrong base with all else

Operators need the whole document in force as the base of the next patch, and had no way to get it once patches were published. A wrong base was left out when the patch had other findings. A text that starts with a dot and has a colon is no IPv6 number: it would have been looked up as a name.

--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniConfigurationReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IniConfigurationReader.java
@@ -24,10 +24,7 @@
         if (number <= base.number()) {
             findings.add(name, "", "", "to be published above number " + base.number(), "number " + number);
         }
-        if (findings.none() && patch.header().base() != base.number()) {
-            String found = String.valueOf(patch.header().base());
-            findings.add(name, "patch", "base", String.valueOf(base.number()), found);
-        }
+        patch.checkBase(base.number());
         Draft draft = Draft.of(base);
         patch.applyTo(draft);
         new DraftChecks(name, draft, findings).run();
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IpAddress.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/IpAddress.java
@@ -10,7 +10,7 @@
 public final class IpAddress {
     private static final int HIGHEST_PORT = 65_535;
     private static final Pattern IPV4 = Pattern.compile("((25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])(\\.(?!$)|$)){4}");
-    private static final Pattern IPV6_CHARACTERS = Pattern.compile("[0-9a-f:.]*:[0-9a-f:.]*");
+    private static final Pattern IPV6_CHARACTERS = Pattern.compile("[0-9a-f:][0-9a-f:.]*");
     private static final Pattern WITH_PORT = Pattern.compile("(?:\\[([^\\]]+)\\]|([^:]+)):([1-9][0-9]{0,4})");
 
     private IpAddress() {}
@@ -43,11 +43,11 @@
     }
 
     private static boolean isIpv6(String text) {
-        if (!IPV6_CHARACTERS.matcher(text).matches()) {
+        if (!text.contains(":") || !IPV6_CHARACTERS.matcher(text).matches()) {
             return false;
         }
         try {
-            // Text with a colon is only ever parsed as a number, never looked up.
+            // Text that starts so and has a colon is only ever parsed as a number, never looked up.
             InetAddress.getByName(text);
             return true;
         } catch (UnknownHostException e) {
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/PatchText.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/PatchText.java
@@ -19,6 +19,7 @@
     private final String file;
     private final Findings findings;
     private final PatchHeader header;
+    private final boolean headerSound;
     private final List<IniSection> changes = new ArrayList<>();
     private final List<String> headers = new ArrayList<>();
 
@@ -41,7 +42,9 @@
                 changes.add(section);
             }
         }
-        this.header = header(new SectionReader(head, HEADER_KEYS, findings));
+        SectionReader reader = new SectionReader(head, HEADER_KEYS, findings);
+        this.header = header(reader);
+        this.headerSound = reader.sound();
         if (changes.isEmpty()) {
             findings.add(file, "", "", "at least one section [set KIND NAME] or [remove KIND NAME]", "none");
         }
@@ -56,6 +59,17 @@
         return header;
     }
 
+    /**
+     * Checks that the patch was written against what is in force.
+     *
+     * @param inForce the number in force
+     */
+    void checkBase(long inForce) {
+        if (headerSound && header.base() != inForce) {
+            findings.add(file, HEADER, BASE, String.valueOf(inForce), String.valueOf(header.base()));
+        }
+    }
+
     List<String> headers() {
         return headers;
     }
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/IniConfigurationReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/IniConfigurationReaderTest.java
@@ -49,6 +49,8 @@
                 "10.0.0.1:9101 | 10.0.0.256:9101 | worker llm-1 | address | an IP number and port, as in 127.0.0.1:9101 | 10.0.0.256:9101",
                 "10.0.0.1:9101 | 10.0.0.1:70000 | worker llm-1 | address | an IP number and port, as in 127.0.0.1:9101 | 10.0.0.1:70000",
                 "10.0.0.1:9101 | 10.0.0.2:9101 | worker api-1 | address | an address of its own | that of worker llm-1",
+                "10.0.0.1:9101 | [fd00::g]:9101 | worker llm-1 | address | an IP number and port, as in 127.0.0.1:9101 | [fd00::g]:9101",
+                "10.0.0.1:9101 | [.a:b]:9101 | worker llm-1 | address | an IP number and port, as in 127.0.0.1:9101 | [.a:b]:9101",
                 "kind = engine | kind = motor | upstream llm | kind | engine or service | motor",
                 "[class lookup] | [clas lookup] | clas lookup | | a section [KIND NAME] with a kind of class, customer, upstream, worker | clas (nearest: class)",
                 "[class lookup] | [class] | class | | a section [KIND NAME] with a kind of class, customer, upstream, worker | class (nearest: class)",
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/PatchTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/PatchTest.java
@@ -101,6 +101,15 @@
         assertThat(findings).containsExactly(new Finding("late.ini", "patch", "base", "2", "1"));
     }
 
+    @Test
+    void anotherNumberIsReportedTogetherWithAllElseThatIsWrong() {
+        String text = HEAD.replace("base = 1", "base = 5") + "[set class chat]\ntier = 9\nmodle = m\n";
+
+        assertThat(Texts.findings(reader.fold(Texts.small(), 2, "p.ini", text)))
+                .extracting(Finding::key)
+                .containsExactly("base", "modle", "tier");
+    }
+
     /**
      * A stale reader hands out an entry again that is already folded. Folded once more under its old number, the
      * configuration in force would go back to that number.
--- a/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/CommandLine.java
+++ b/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/CommandLine.java
@@ -46,7 +46,7 @@
         builder.withGroup("config").withDescription("Configuration documents").withCommand(ConfigCheckCommand.class);
         builder.withGroup("patch")
                 .withDescription("Patches of the configuration")
-                .withCommands(List.of(PatchCheckCommand.class, PatchPreviewCommand.class));
+                .withCommands(List.of(PatchCheckCommand.class, PatchPreviewCommand.class, PatchApplyCommand.class));
         return builder.build();
     }
 
--- a/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/PatchPreviewCommand.java
+++ b/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/PatchPreviewCommand.java
@@ -4,63 +4,26 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
-import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.annotations.restrictions.MaxOccurrences;
-import com.github.rvesse.airline.annotations.restrictions.Required;
 import org.dotterelcourse.configuration.Change;
-import org.dotterelcourse.configuration.Checked;
 import org.dotterelcourse.configuration.Configuration;
 import org.dotterelcourse.configuration.ConfigurationDifference;
-import org.dotterelcourse.configuration.IniConfigurationReader;
 import org.dotterelcourse.configuration.PatchHeader;
 
 /** Shows what a patch changes, key by key. */
 @Command(name = "preview", description = "Show what a patch changes, key by key, before and after")
-public final class PatchPreviewCommand implements OperatorCommand {
+public final class PatchPreviewCommand extends PatchCommand {
     private static final String SUM_KEY = "key-sha256";
     private static final int SHOWN_OF_SUM = 8;
 
-    @Arguments(title = "FILE", description = "The patch")
-    @Required
-    @MaxOccurrences(occurrences = 1)
-    private String file;
-
-    @Option(name = "--base", title = "DOC", description = "The whole document, taken to be the patch's base")
-    @Required
-    private String base;
-
-    @Option(name = "--json", description = "Print JSON")
-    private boolean json;
-
     @Override
-    public ExitCode run(Console console) throws WrongCallException {
-        Checked<PatchHeader> read = new IniConfigurationReader().header(file, TextFile.read(file));
-        if (read instanceof Checked.Invalid<PatchHeader> invalid) {
-            return Report.findings(console, json, file, invalid.findings());
-        }
-        PatchHeader header = ((Checked.Valid<PatchHeader>) read).value();
-        Checked<Configuration> whole = Documents.whole(header.base(), base);
-        if (whole instanceof Checked.Invalid<Configuration> invalid) {
-            return Report.findings(console, json, base, invalid.findings());
-        }
-        Configuration before = ((Checked.Valid<Configuration>) whole).value();
-        Checked<Configuration> folded = Documents.fold(before, file);
-        if (folded instanceof Checked.Invalid<Configuration> invalid) {
-            return Report.findings(console, json, file, invalid.findings());
-        }
-        Configuration after = ((Checked.Valid<Configuration>) folded).value();
-        print(console, header, after, ConfigurationDifference.between(before, after));
-        return ExitCode.OK;
-    }
-
-    private void print(Console console, PatchHeader header, Configuration after, List<Change> changes) {
-        if (json) {
+    void print(Console console, PatchHeader header, Configuration before, Configuration after) {
+        List<Change> changes = ConfigurationDifference.between(before, after);
+        if (json()) {
             Report.print(console, tree(header, after, changes));
             return;
         }
-        console.out().printf("%s: base %d, by %s: %s%n%n", file, header.base(), header.author(), header.reason());
+        console.out().printf("%s: base %d, by %s: %s%n%n", file(), header.base(), header.author(), header.reason());
         TextTable table = new TextTable(List.of("SECTION", "KEY", "BEFORE", "AFTER"));
         for (Change each : changes) {
             table.row(List.of(each.section(), each.key(), shown(each, each.before()), shown(each, each.after())));
@@ -71,7 +34,7 @@
 
     private ObjectNode tree(PatchHeader header, Configuration after, List<Change> changes) {
         ObjectNode result = Report.object()
-                .put("file", file)
+                .put("file", file())
                 .put("valid", true)
                 .put("base", header.base())
                 .put("author", header.author())
--- a/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/CheckCommandsTest.java
+++ b/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/CheckCommandsTest.java
@@ -86,6 +86,32 @@
         assertThat(machine.get("changes").get(0).get("section").asText()).startsWith("class ");
     }
 
+    @Test
+    void findingsOfAPatchesHeaderAndOfItsChangesComeTogether() throws Exception {
+        Path patch = Files.writeString(directory.resolve("p.ini"), "[patch]\nbase = 1\n[set class payout]\ntier = 7\n");
+
+        for (String command : new String[] {"check", "preview", "apply"}) {
+            String number = command.equals("check") ? "--number=1" : "--json";
+            ToolRun run = ToolRun.of("patch", command, patch.toString(), "--base", DOCUMENT, number);
+
+            assertThat(run.code()).isEqualTo(ExitCode.FINDINGS);
+            assertThat(run.out()).contains("author", "reason", "tier");
+        }
+    }
+
+    @Test
+    void anAppliedPatchGivesADocumentWithTheDigestThatWasForetold() throws Exception {
+        ToolRun foretold = ToolRun.of("patch", "check", PATCH, "--base", DOCUMENT, "--number", "1", "--json");
+        Path result = Files.writeString(
+                directory.resolve("r.ini"),
+                ToolRun.of("patch", "apply", PATCH, "--base", DOCUMENT).out());
+
+        ToolRun run = ToolRun.of("config", "check", result.toString(), "--number", "2", "--json");
+
+        assertThat(run.code()).isEqualTo(ExitCode.OK);
+        assertThat(run.json().get("digest")).isEqualTo(foretold.json().get("digest"));
+    }
+
     @Test
     void aPreviewDoesNotShowTheWholeSumOfAKey() throws Exception {
         String sum = "0123456789abcdef".repeat(4);
--- a/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/CommandLineTest.java
+++ b/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/CommandLineTest.java
@@ -43,6 +43,7 @@
                 "config check",
                 "patch check",
                 "patch preview",
+                "patch apply",
                 "status",
                 "members",
                 "owners",
