--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
@@ -18,6 +18,8 @@
 import org.dotterelcourse.standins.LoadGenerator;
 import org.dotterelcourse.standins.LoadResult;
 import org.dotterelcourse.standins.LoadSpec;
+import org.dotterelcourse.standins.ProxyLink;
+import org.dotterelcourse.standins.RequestCount;
 import org.dotterelcourse.standins.ServiceStandIn;
 import org.dotterelcourse.standins.VmListStandIn;
 
@@ -138,11 +140,35 @@
         });
     }
 
+    /** How often each request ran at all services together. */
+    Map<String, Integer> runs() {
+        Map<String, Integer> all = new LinkedHashMap<>();
+        services.values().forEach(each -> each.runs().forEach((id, count) -> all.merge(id, count, Integer::sum)));
+        return all;
+    }
+
     /** Waits until engines generate tokens for a number of requests at once. */
     void awaitRunning(int requests) {
-        Await.until(
-                requests + " requests run",
-                () -> engines.values().stream().mapToInt(EngineStandIn::running).sum() >= requests);
+        Await.until(requests + " requests run", () -> running() >= requests);
+    }
+
+    /** Makes all connections that are open between daemons and upstreams silent for good; new ones work. */
+    void silenceOpenConnections() {
+        engineLinks.keySet().forEach(each -> proxy.link(each).silenceOpen(ProxyLink.Direction.BOTH));
+        serviceLinks.keySet().forEach(each -> proxy.link(each).silenceOpen(ProxyLink.Direction.BOTH));
+    }
+
+    /** How many requests all engines together work on. */
+    int running() {
+        return engines.values().stream().mapToInt(EngineStandIn::running).sum();
+    }
+
+    /** How many tokens all engines together have generated. */
+    long generated() {
+        return engines.values().stream()
+                .flatMap(each -> each.stats().values().stream())
+                .mapToLong(RequestCount::generated)
+                .sum();
     }
 
     @Override
--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/UpstreamFaultsTest.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/UpstreamFaultsTest.java
@@ -1,5 +1,8 @@
 package org.dotterelcourse.it;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
@@ -68,6 +71,18 @@
         assertAllAnswered(result, Documents.QUESTION, Documents.SUMMARY, Documents.CHECK, Documents.PAYOUT);
     }
 
+    // A middlebox forgets all connections between daemons and upstreams while some lie idle in pools. The next callers'
+    // requests go into them and are lost without a word; each must still get its answer.
+    @Test
+    void pooledConnectionsThatWentSilentWhileIdleCostNoAnswer() {
+        fleet.load(30, 2, 5, 20).join();
+        fleet.silenceOpenConnections();
+        LoadResult result = fleet.load(30, 3, 5, 20).join();
+        assertThat(result.clean()).as(result.table()).isTrue();
+        assertAllAnswered(
+                result, Documents.QUESTION, Documents.SUMMARY, Documents.SIGNED, Documents.CHECK, Documents.PAYOUT);
+    }
+
     // Connections to a plain service are reset while payouts run there. Whether such a payout ran is not known; nobody
     // may run it a second time, and nobody may say that it was not run.
     @Test
@@ -88,6 +103,39 @@
         assertAllAnswered(result, Documents.CHECK, Documents.QUESTION);
     }
 
+    // An engine is about to be taken away and refuses new work. It must get none after a few seconds, and no caller may
+    // notice.
+    @Test
+    void anEngineThatIsLeavingGetsNoNewWorkAndNoCallerNotices() {
+        CompletableFuture<LoadResult> load = fleet.load(40, 10, 50, 150);
+        Await.until("the engine is busy", () -> fleet.engine(3).running() >= 2);
+        fleet.engine(3).fault(Fault.of(Fault.Kind.LEAVING));
+        Await.until("the engine is empty", () -> fleet.engine(3).running() == 0 || load.isDone());
+        assertThat(load).isNotDone();
+        int started = fleet.engine(3).stats().size();
+        LoadResult result = load.join();
+        assertThat(fleet.engine(3).stats()).hasSize(started);
+        assertThat(result.clean()).as(result.table()).isTrue();
+        assertAllAnswered(result, Documents.QUESTION, Documents.SUMMARY, Documents.SIGNED);
+    }
+
+    // A caller closes its page in the middle of a long answer. The engine must stop working on it, or its places fill
+    // with answers that nobody reads.
+    @Test
+    void aCallerThatGoesAwayEndsItsWorkAtTheEngine() throws IOException {
+        String[] address = fleet.daemons().get(0).callers().split(":");
+        String body = "{\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"[[tokens=1900]]\"}]}";
+        try (Socket caller = new Socket(address[0], Integer.parseInt(address[1]))) {
+            String request = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Documents.KEY
+                    + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            assertThat(caller.getInputStream().read()).isPositive();
+            fleet.awaitRunning(1);
+        }
+        Await.until("the engines are empty", () -> fleet.running() == 0);
+        assertThat(fleet.generated()).isLessThan(1900);
+    }
+
     static void assertAllAnswered(LoadResult result, String... classes) {
         for (String each : classes) {
             assertThat(result.of(each).sent()).isPositive();
