--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ClassSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ClassSection.java
@@ -1,8 +1,7 @@
 package org.dotterelcourse.configuration;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.function.BiConsumer;
 
 /** {@code [class NAME]}: a request class. */
 final class ClassSection implements SectionKind<RequestClass> {
@@ -80,24 +79,22 @@
     }
 
     @Override
-    public Map<String, String> write(RequestClass value) {
-        Map<String, String> entries = new LinkedHashMap<>();
-        entries.put(UPSTREAM, value.upstream());
+    public void write(RequestClass value, BiConsumer<String, String> entries) {
+        entries.accept(UPSTREAM, value.upstream());
         if (!value.model().isEmpty()) {
-            entries.put(MODEL, value.model());
+            entries.accept(MODEL, value.model());
         }
         if (!value.version().isEmpty()) {
-            entries.put(VERSION, value.version());
+            entries.accept(VERSION, value.version());
         }
-        entries.put(TIER, String.valueOf(value.tier()));
-        entries.put(TARGET, String.valueOf(value.targetMillis()));
-        entries.put(TOKEN_INTERVAL, String.valueOf(value.tokenIntervalMillis()));
-        entries.put(IDEMPOTENT, String.valueOf(value.idempotent()));
-        entries.put(LATE_IS_USELESS, String.valueOf(value.lateIsUseless()));
-        entries.put(MINIMUM_SHARE, Decimals.text(value.minimumShare()));
-        entries.put(MAX_WAITING, String.valueOf(value.maxWaiting()));
-        entries.put(MAX_OUTPUT_TOKENS, String.valueOf(value.maxOutputTokens()));
-        return entries;
+        entries.accept(TIER, String.valueOf(value.tier()));
+        entries.accept(TARGET, String.valueOf(value.targetMillis()));
+        entries.accept(TOKEN_INTERVAL, String.valueOf(value.tokenIntervalMillis()));
+        entries.accept(IDEMPOTENT, String.valueOf(value.idempotent()));
+        entries.accept(LATE_IS_USELESS, String.valueOf(value.lateIsUseless()));
+        entries.accept(MINIMUM_SHARE, Decimals.text(value.minimumShare()));
+        entries.accept(MAX_WAITING, String.valueOf(value.maxWaiting()));
+        entries.accept(MAX_OUTPUT_TOKENS, String.valueOf(value.maxOutputTokens()));
     }
 
     @Override
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ConfigurationDifference.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ConfigurationDifference.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.configuration;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -64,7 +65,11 @@
     }
 
     private static <T> Map<String, String> entries(SectionKind<T> kind, T value) {
-        return value == null ? Map.of() : kind.write(value);
+        Map<String, String> entries = new HashMap<>();
+        if (value != null) {
+            kind.write(value, entries::put);
+        }
+        return entries;
     }
 
     private static List<Upstream> withoutWorkers(Configuration configuration) {
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ConfigurationText.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/ConfigurationText.java
@@ -5,7 +5,6 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Writes a configuration as its canonical text: INI, sections in the order classes, customers, upstreams and by
@@ -17,6 +16,8 @@
     private static final UpstreamSection UPSTREAM = new UpstreamSection();
     private static final WorkerSection WORKER = new WorkerSection();
 
+    private static final int USUAL_SECTION_LENGTH = 300;
+
     private ConfigurationText() {}
 
     /**
@@ -26,7 +27,9 @@
      * @return a whole document; equal content gives equal text
      */
     public static String render(Configuration configuration) {
-        StringBuilder text = new StringBuilder();
+        int sections =
+                configuration.classes().size() + configuration.customers().size();
+        StringBuilder text = new StringBuilder(sections * USUAL_SECTION_LENGTH);
         configuration.classes().forEach(each -> append(text, CLASS, each));
         configuration.customers().forEach(each -> append(text, CUSTOMER, each));
         configuration.upstreams().forEach(each -> text.append(withWorkers(each)));
@@ -106,9 +109,9 @@
                 .append(' ')
                 .append(kind.name(value))
                 .append("]\n");
-        for (Map.Entry<String, String> entry : kind.write(value).entrySet()) {
-            text.append(entry.getKey()).append(" = ").append(entry.getValue()).append('\n');
-        }
+        kind.write(
+                value,
+                (key, entry) -> text.append(key).append(" = ").append(entry).append('\n'));
         text.append('\n');
     }
 }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/CustomerSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/CustomerSection.java
@@ -1,8 +1,7 @@
 package org.dotterelcourse.configuration;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.function.BiConsumer;
 
 /** {@code [customer NAME]}: a customer. */
 final class CustomerSection implements SectionKind<Customer> {
@@ -39,14 +38,12 @@
     }
 
     @Override
-    public Map<String, String> write(Customer value) {
-        Map<String, String> entries = new LinkedHashMap<>();
-        entries.put(KEY_SHA256, value.keySha256());
-        entries.put(CLASSES, String.join(", ", value.classes()));
-        entries.put(DEFAULT_CLASS, value.defaultClass());
-        entries.put(REQUESTS_PER_SECOND, Decimals.text(value.requestsPerSecond()));
-        entries.put(TOKENS_PER_SECOND, Decimals.text(value.tokensPerSecond()));
-        return entries;
+    public void write(Customer value, BiConsumer<String, String> entries) {
+        entries.accept(KEY_SHA256, value.keySha256());
+        entries.accept(CLASSES, String.join(", ", value.classes()));
+        entries.accept(DEFAULT_CLASS, value.defaultClass());
+        entries.accept(REQUESTS_PER_SECOND, Decimals.text(value.requestsPerSecond()));
+        entries.accept(TOKENS_PER_SECOND, Decimals.text(value.tokensPerSecond()));
     }
 
     @Override
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/SectionKind.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/SectionKind.java
@@ -1,7 +1,7 @@
 package org.dotterelcourse.configuration;
 
 import java.util.List;
-import java.util.Map;
+import java.util.function.BiConsumer;
 
 /**
  * One kind of section in a configuration document: how its record is read and written.
@@ -35,9 +35,9 @@
      * Writes a record.
      *
      * @param value the record
-     * @return its keys and values, without those that equal a missing key
+     * @param entries takes its keys and values in the order of {@link #keys()}, without keys that have no value
      */
-    Map<String, String> write(T value);
+    void write(T value, BiConsumer<String, String> entries);
 
     /**
      * The name that the record has in its section's header.
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/SectionRecords.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/SectionRecords.java
@@ -68,7 +68,10 @@
      */
     void change(IniSection change, Findings findings) {
         T before = byName.get(change.name());
-        Map<String, String> entries = before == null ? new LinkedHashMap<>() : kind.write(before);
+        Map<String, String> entries = new LinkedHashMap<>();
+        if (before != null) {
+            kind.write(before, entries::put);
+        }
         change.entries().forEach((key, text) -> {
             if (text.isEmpty() && kind.keys().contains(key)) {
                 entries.remove(key);
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/UpstreamSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/UpstreamSection.java
@@ -1,8 +1,7 @@
 package org.dotterelcourse.configuration;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.function.BiConsumer;
 
 /** {@code [upstream NAME]}: an upstream, without its workers. */
 final class UpstreamSection implements SectionKind<Upstream> {
@@ -45,14 +44,12 @@
     }
 
     @Override
-    public Map<String, String> write(Upstream value) {
-        Map<String, String> entries = new LinkedHashMap<>();
-        entries.put(KIND, Value.word(value.kind()));
-        entries.put(REGION, value.region());
-        entries.put(FENCING, Value.word(value.fencing()));
-        entries.put(CONCURRENCY, String.valueOf(value.concurrency()));
-        entries.put(LOADS_PER_MINUTE, String.valueOf(value.loadsPerMinute()));
-        return entries;
+    public void write(Upstream value, BiConsumer<String, String> entries) {
+        entries.accept(KIND, Value.word(value.kind()));
+        entries.accept(REGION, value.region());
+        entries.accept(FENCING, Value.word(value.fencing()));
+        entries.accept(CONCURRENCY, String.valueOf(value.concurrency()));
+        entries.accept(LOADS_PER_MINUTE, String.valueOf(value.loadsPerMinute()));
     }
 
     @Override
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/WorkerSection.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/WorkerSection.java
@@ -1,8 +1,7 @@
 package org.dotterelcourse.configuration;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.function.BiConsumer;
 
 /** {@code [worker NAME]}: a worker of an upstream. */
 final class WorkerSection implements SectionKind<PlacedWorker> {
@@ -33,13 +32,11 @@
     }
 
     @Override
-    public Map<String, String> write(PlacedWorker value) {
-        Map<String, String> entries = new LinkedHashMap<>();
-        entries.put(UPSTREAM, value.upstream());
-        entries.put(ADDRESS, value.worker().address());
-        entries.put(DATA_CENTRE, value.worker().dataCentre());
-        entries.put(LEAVING, String.valueOf(value.worker().leaving()));
-        return entries;
+    public void write(PlacedWorker value, BiConsumer<String, String> entries) {
+        entries.accept(UPSTREAM, value.upstream());
+        entries.accept(ADDRESS, value.worker().address());
+        entries.accept(DATA_CENTRE, value.worker().dataCentre());
+        entries.accept(LEAVING, String.valueOf(value.worker().leaving()));
     }
 
     @Override
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/ConfigurationMeasurement.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/ConfigurationMeasurement.java
@@ -46,8 +46,8 @@
                 "java %s, %d processors%n",
                 Runtime.version(), Runtime.getRuntime().availableProcessors());
         System.out.println("| customers | document MB | held MB | read ms | read allocates MB | fold ms | fold worst ms"
-                + " | fold allocates MB |");
-        System.out.println("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
+                + " | fold allocates MB | render ms | render allocates MB |");
+        System.out.println("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
         for (int customers : CUSTOMERS) {
             System.out.println(row(start, customers));
         }
@@ -64,9 +64,10 @@
         double held = (usedHeap() - before) / BYTES_PER_MEGABYTE;
         int[] rate = {1};
         Cost fold = cost(() -> reader.fold(base, 2, "patch", PATCH.formatted(rate[0]++)));
+        Cost render = cost(() -> ConfigurationText.render(base));
         return String.format(
                 Locale.ROOT,
-                "| %d | %.2f | %.1f | %.2f | %.1f | %.2f | %.2f | %.2f |",
+                "| %d | %.2f | %.1f | %.2f | %.1f | %.2f | %.2f | %.2f | %.2f | %.2f |",
                 customers,
                 size,
                 held,
@@ -74,21 +75,23 @@
                 read.allocatedMegabytes,
                 fold.medianMillis,
                 fold.worstMillis,
-                fold.allocatedMegabytes);
+                fold.allocatedMegabytes,
+                render.medianMillis,
+                render.allocatedMegabytes);
     }
 
-    private static Cost cost(Supplier<Checked<Configuration>> operation) {
+    private static Cost cost(Supplier<?> operation) {
         for (int round = 0; round < WARM_UP_ROUNDS; round++) {
-            valid(operation.get());
+            checkRead(operation.get());
         }
         ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
         double[] millis = new double[ROUNDS];
         long allocatedBefore = threads.getCurrentThreadAllocatedBytes();
         for (int round = 0; round < ROUNDS; round++) {
             long start = System.nanoTime();
-            Checked<Configuration> result = operation.get();
+            Object result = operation.get();
             millis[round] = (System.nanoTime() - start) / NANOS_PER_MILLI;
-            valid(result);
+            checkRead(result);
         }
         long allocated = threads.getCurrentThreadAllocatedBytes() - allocatedBefore;
         Arrays.sort(millis);
@@ -102,10 +105,14 @@
         return runtime.totalMemory() - runtime.freeMemory();
     }
 
-    private static Configuration valid(Checked<Configuration> checked) {
-        if (checked instanceof Checked.Invalid<Configuration> invalid) {
+    private static void checkRead(Object result) {
+        if (result instanceof Checked.Invalid<?> invalid) {
             throw new IllegalStateException(invalid.findings().toString());
         }
+    }
+
+    private static Configuration valid(Checked<Configuration> checked) {
+        checkRead(checked);
         return ((Checked.Valid<Configuration>) checked).value();
     }
 
