--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/ConfigurationPropertiesTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/ConfigurationPropertiesTest.java
@@ -41,6 +41,10 @@
         assertThat(ConfigurationText.render(whole)).isEqualTo(text);
     }
 
+    /**
+     * A published patch has a mistake in its last section. If the sections before it had an effect, a daemon would serve
+     * by rules that nobody published, and others by other ones.
+     */
     @Property(seed = SEED, tries = 200)
     void aRefusedPatchChangesNothing(@ForAll("patches") List<String> patches) {
         Configuration base = Texts.small();
@@ -72,6 +76,10 @@
         }
     }
 
+    /**
+     * Something that is no document is published, or a file of another kind is named to the tool. An exception would end
+     * the thread that reads, and the daemon would take no later configuration either.
+     */
     @Property(seed = SEED, tries = 1000)
     void garbageGivesFindingsAndNoException(@ForAll("garbage") String text) {
         assertThat(Texts.findings(reader.read(1, "garbage", text))).isNotEmpty();
@@ -81,7 +89,7 @@
                 .isNotEmpty();
     }
 
-    /** Every cut of a right document either reads or gives findings; a cut section is never half used. */
+    /** A document arrives without its end. What is left is read if it is a whole document by itself, else refused. */
     @Property(seed = SEED, tries = 300)
     void aDocumentThatIsCutOffNeverThrows(@ForAll("cuts") int length) {
         Checked<Configuration> cut = reader.read(1, "cut", Texts.SMALL.substring(0, length));
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/DaemonSettingsReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/DaemonSettingsReaderTest.java
@@ -72,6 +72,10 @@
                         "egde//egde (nearest: edge)");
     }
 
+    /**
+     * Two ports are set to the same number. The daemon would start, serve callers, and fail only when it begins to
+     * listen for operators.
+     */
     @Test
     void twoServersMayNotListenOnTheSamePortButEachMayTakeAnyFreeOne() {
         String same = LEAST.replace("[platform]", "callers-port = 9090\npeers-port = 9090\n[platform]");
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/IniConfigurationReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/IniConfigurationReaderTest.java
@@ -109,6 +109,10 @@
         assertThat(findings).extracting(Finding::key).containsExactly("model", "version", "token-interval-ms");
     }
 
+    /**
+     * Each of several classes is given a large share, one patch after the other. Together they were promised more than
+     * there is, and under load one of them would not get what its operators read in the document.
+     */
     @Test
     void minimumSharesOfOneUpstreamMayNotAddUpToMoreThanOne() {
         String second = Texts.SMALL.substring(0, Texts.SMALL.indexOf("[class lookup]"));
@@ -136,6 +140,10 @@
         assertThat(findings.toString()).doesNotContain("secret");
     }
 
+    /**
+     * A section is copied for a new customer and the sum of the key is left as it was. The calls of one customer would
+     * be counted against the budget of the other.
+     */
     @Test
     void twoCustomersMayNotHaveTheSameKey() {
         String customer =
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/PatchTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/PatchTest.java
@@ -56,6 +56,10 @@
         assertThat(Texts.valid(header)).isEqualTo(new PatchHeader(1, "an operator", "20% more, for May; see [7]"));
     }
 
+    /**
+     * An operator mistypes a name, forgets a key or removes what is still in use. Without the place of the mistake they
+     * would look for it in a document of thousands of sections.
+     */
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- a/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/CheckCommandsTest.java
+++ b/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/CheckCommandsTest.java
@@ -112,6 +112,7 @@
         assertThat(run.json().get("digest")).isEqualTo(foretold.json().get("digest"));
     }
 
+    /** A preview is pasted into a chat. From the whole sum of a short key, the key itself could be found by guessing. */
     @Test
     void aPreviewDoesNotShowTheWholeSumOfAKey() throws Exception {
         String sum = "0123456789abcdef".repeat(4);
--- a/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/DaemonCommandsTest.java
+++ b/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/DaemonCommandsTest.java
@@ -116,6 +116,10 @@
         assertThat(drain.json().get(0).get("draining").asBoolean()).isFalse();
     }
 
+    /**
+     * The tool is newer than a daemon and asks for what that one doesn't know. The operator sees the daemon's answer, and
+     * does not take an empty table for the truth.
+     */
     @Test
     void aDaemonThatDoesNotKnowThePathIsReportedWithItsAnswer() {
         ToolRun run = ToolRun.of("owners", "--daemon", daemon("entry-1", 7, "aa"));
