Decode an engine's bytes at once; order engines from the owner; watch the service when alone

Wrong answers. Cause: buffers of the HTTP client are released when they have been handed over, but the operator that flattened them kept them while a caller was slow, and read them after they were used again. A load on a busy machine had shown one wrong answer in 700; it was first taken for an overlap after a preemption, which the counts ruled out (the engine refuses a resumption whose text is not its own).

The owner of a cell now orders its engines to the versions in force. The first try withheld a whole worker while one version drained, and callers got "no worker" when both engines drained at once; now only grants older than the drain are waited for, since new requests name the version in force.

A lone daemon was never told that it is its data centre's reader, so a patch took about 20 s to reach it.

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/configuration/ConfigurationDriver.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/configuration/ConfigurationDriver.java
@@ -53,6 +53,17 @@
         transport.every(tickNanos, () -> handle(new RelayEvent.Tick()));
     }
 
+    /**
+     * Takes the view before anything has changed in it: a process that is alone is the reader, and hears of nobody. Only
+     * on the transport's thread.
+     *
+     * @param self this process
+     * @param members the view, this process included
+     */
+    public void membershipStarted(MemberId self, List<Member> members) {
+        handle(roster(self, members));
+    }
+
     /**
      * Takes what membership told. Only on the transport's thread.
      *
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
@@ -20,6 +20,7 @@
 import org.dotterelcourse.daemon.once.Tickets;
 import org.dotterelcourse.daemon.operators.Drain;
 import org.dotterelcourse.daemon.operators.OperatorsEdge;
+import org.dotterelcourse.daemon.orders.EngineOrders;
 import org.dotterelcourse.daemon.peers.Peers;
 import org.dotterelcourse.daemon.platform.ConfigurationRelayService;
 import org.dotterelcourse.daemon.platform.ConfigurationStore;
@@ -27,6 +28,7 @@
 import org.dotterelcourse.daemon.platform.HttpVmList;
 import org.dotterelcourse.daemon.platform.VmWatcher;
 import org.dotterelcourse.daemon.upstream.HttpEngine;
+import org.dotterelcourse.daemon.upstream.HttpEngineControl;
 import org.dotterelcourse.daemon.upstream.HttpLoadReports;
 import org.dotterelcourse.daemon.upstream.HttpPlainService;
 import org.dotterelcourse.daemon.upstream.UpstreamTimeouts;
@@ -57,6 +59,7 @@
                 .register(new Peers(settings, incarnation))
                 .register(new OwnedGrants(cell -> TieredScheduler.builder().build(), OwnerRule.SHARED))
                 .register(new LoadPoller(new HttpLoadReports()))
+                .register(new EngineOrders(new HttpEngineControl()))
                 .register(new Dispatchers(
                         new HttpEngine(timeouts), new HttpPlainService(timeouts.connect(), MAX_ANSWER_BYTES)))
                 .register(new Tickets())
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellRuntime.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellRuntime.java
@@ -97,6 +97,14 @@
         }
     }
 
+    long lastGrant() {
+        return owned == null ? 0 : ownedArbiter.lastGrant();
+    }
+
+    boolean hasGrantUpTo(String worker, long mark) {
+        return owned != null && ownedArbiter.hasGrantUpTo(worker, mark);
+    }
+
     void report(WorkerReport report, long nowNanos) {
         if (owned != null) {
             ownedArbiter.report(report, nowNanos);
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellWorkers.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/CellWorkers.java
@@ -17,8 +17,13 @@
  * @param workers its workers by name
  * @param infos its workers as the scheduler wants them
  */
-record CellWorkers(Cell cell, Upstream upstream, Map<String, Worker> workers, List<WorkerInfo> infos) {
-    String key() {
+public record CellWorkers(Cell cell, Upstream upstream, Map<String, Worker> workers, List<WorkerInfo> infos) {
+    /**
+     * The cell's name.
+     *
+     * @return the name
+     */
+    public String key() {
         return cell.id().key();
     }
 
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/LoadPoller.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/LoadPoller.java
@@ -6,6 +6,7 @@
 
 import org.dotterelcourse.configuration.Upstream;
 import org.dotterelcourse.configuration.Worker;
+import org.dotterelcourse.coordination.order.EngineState;
 import org.dotterelcourse.daemon.kernel.ControlLoop;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
@@ -29,6 +30,7 @@
     private final LoadReports reports;
     private ControlLoop loop;
     private OwnedGrants grants;
+    private StateListener listener = (cell, state) -> {};
 
     /**
      * Makes a poller.
@@ -62,6 +64,27 @@
         // The control loop ends the polling.
     }
 
+    /**
+     * Calls back on the control loop with each state that an engine of an own cell reports.
+     *
+     * @param next must not block; there is one listener
+     */
+    public void onState(StateListener next) {
+        listener = next;
+    }
+
+    /** Hears of engines' states. */
+    @FunctionalInterface
+    public interface StateListener {
+        /**
+         * An engine has reported.
+         *
+         * @param cell its cell
+         * @param state what it says
+         */
+        void reported(String cell, EngineState state);
+    }
+
     private void poll() {
         for (CellWorkers cell : grants.ownedCells()) {
             if (cell.upstream().kind() == Upstream.Kind.ENGINE) {
@@ -71,8 +94,15 @@
     }
 
     private void poll(String cell, Worker worker) {
-        reports.read(worker.address())
-                .subscribe(report -> loop.execute(() -> grants.report(cell, onOurClock(worker, report))));
+        reports.read(worker.address()).subscribe(report -> loop.execute(() -> reported(cell, worker, report)));
+    }
+
+    private void reported(String cell, Worker worker, LoadReport report) {
+        WorkerReport load = onOurClock(worker, report);
+        grants.report(cell, load);
+        listener.reported(
+                cell,
+                new EngineState(worker.name(), report.fence(), report.loaded(), report.role(), load.measuredNanos()));
     }
 
     /** The engine's clock may be off by any amount; an age that can't be true is taken for none. */
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/OwnedGrants.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/OwnedGrants.java
@@ -150,14 +150,50 @@
         return status;
     }
 
-    /** The workers whose load this daemon must watch: those of its own cells. For the control loop. */
-    List<CellWorkers> ownedCells() {
+    /**
+     * The cells that this daemon owns. For the control loop.
+     *
+     * @return them, with their workers
+     */
+    public List<CellWorkers> ownedCells() {
         return cells.values().stream()
                 .filter(CellRuntime::isOwner)
                 .map(CellRuntime::published)
                 .toList();
     }
 
+    /**
+     * Into how many cells an upstream is cut. For the control loop.
+     *
+     * @param upstream its name
+     * @return the number
+     */
+    public int cellsOf(String upstream) {
+        return byUpstream.getOrDefault(upstream, List.of()).size();
+    }
+
+    /**
+     * The newest grant of an own cell, as a mark for {@link #hasGrantUpTo}. For the control loop.
+     *
+     * @param cell the cell
+     * @return its number
+     */
+    public long lastGrant(String cell) {
+        return cells.get(cell).lastGrant();
+    }
+
+    /**
+     * Whether a worker of an own cell still runs something that was granted no later than a mark. For the control loop.
+     *
+     * @param cell the cell
+     * @param worker the worker's name
+     * @param mark what {@link #lastGrant} said
+     * @return true if so
+     */
+    public boolean hasGrantUpTo(String cell, String worker, long mark) {
+        return cells.get(cell).hasGrantUpTo(worker, mark);
+    }
+
     /** Takes a worker's load report. For the control loop. */
     void report(String cell, WorkerReport report) {
         cells.get(cell).report(report, loop.nowNanos());
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/SchedulerArbiter.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/SchedulerArbiter.java
@@ -1,7 +1,9 @@
 package org.dotterelcourse.daemon.cells;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.dotterelcourse.coordination.grant.Arbiter;
 import org.dotterelcourse.coordination.grant.Decision;
@@ -20,6 +22,8 @@
 final class SchedulerArbiter implements Arbiter {
     private final CellScheduler scheduler;
     private final List<CellEffect> held = new ArrayList<>();
+    private final Map<Long, String> running = new HashMap<>();
+    private long lastGrant;
 
     SchedulerArbiter(CellScheduler scheduler) {
         this.scheduler = scheduler;
@@ -33,6 +37,17 @@
         held.addAll(scheduler.report(report, nowNanos));
     }
 
+    /** The newest grant, as a mark for {@link #hasGrantUpTo}. */
+    long lastGrant() {
+        return lastGrant;
+    }
+
+    /** Whether a worker still has a grant that is not newer than a mark. */
+    boolean hasGrantUpTo(String worker, long mark) {
+        return running.entrySet().stream()
+                .anyMatch(each -> each.getKey() <= mark && each.getValue().equals(worker));
+    }
+
     int waiting() {
         return scheduler.waiting();
     }
@@ -54,18 +69,22 @@
 
     @Override
     public List<Decision> release(long grant, byte[] observation, long nowNanos) {
+        running.remove(grant);
         return decisions(scheduler.release(grant, TermsCodec.decodeObservation(observation), nowNanos));
     }
 
     @Override
     public List<Decision> expire(long grant, long nowNanos) {
         Completion unknown = new Completion(Completion.End.CANCELLED, -1, 0, 0);
+        running.remove(grant);
         return decisions(scheduler.release(grant, unknown, nowNanos));
     }
 
     @Override
     public long adopt(String askId, String worker, long arrivalNanos, byte[] terms, long nowNanos) {
-        return scheduler.adopt(TermsCodec.decode(askId, arrivalNanos, terms), worker, nowNanos);
+        long grant = scheduler.adopt(TermsCodec.decode(askId, arrivalNanos, terms), worker, nowNanos);
+        noteGrant(grant, worker);
+        return grant;
     }
 
     @Override
@@ -81,14 +100,21 @@
         return decisions;
     }
 
-    private static Decision decision(CellEffect effect) {
+    private Decision decision(CellEffect effect) {
         if (effect instanceof CellEffect.Granted granted) {
+            noteGrant(granted.grant(), granted.worker());
             return new Decision.Granted(granted.askId(), granted.grant(), granted.worker());
         }
         if (effect instanceof CellEffect.Refused refused) {
             return new Decision.Refused(refused.askId(), refused.reason().name(), refused.retryAfterNanos());
         }
         CellEffect.Preempted preempted = (CellEffect.Preempted) effect;
+        running.remove(preempted.grant());
         return new Decision.Preempted(preempted.askId(), preempted.grant());
     }
+
+    private void noteGrant(long grant, String worker) {
+        running.put(grant, worker);
+        lastGrant = grant;
+    }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
@@ -116,6 +116,7 @@
                 call.id(),
                 call.body(),
                 call.requestClass().model(),
+                call.requestClass().version(),
                 call.maxTokens(),
                 call.requestClass().tier() - ClassTerms.HIGHEST_TIER,
                 progress.text(),
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -269,6 +270,15 @@
         membershipListeners.add(listener);
     }
 
+    /**
+     * Calls back once, on the transport's thread, with what is known before any other daemon is.
+     *
+     * @param listener must not block
+     */
+    public void onStart(BiConsumer<MemberId, List<Member>> listener) {
+        transport.execute(() -> listener.accept(membership.self(), membership.members()));
+    }
+
     private void tell(Payload changed) {
         payload = changed;
         driver.handle(new MembershipEvent.PayloadChanged(changed));
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/ConfigurationRelayService.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/ConfigurationRelayService.java
@@ -75,6 +75,8 @@
         driver = new ConfigurationDriver(peers.transport(), relay, this::carryOut);
         peers.onMembership(driver::membershipChanged);
         driver.start(TICK_NANOS);
+        // A daemon that is alone hears of no member, and would never learn that it is the one to watch the service.
+        peers.onStart(driver::membershipStarted);
         return List.of();
     }
 
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/EngineCall.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/EngineCall.java
@@ -9,6 +9,7 @@
  * @param requestId passed on to the worker
  * @param body the caller's chat completion; not changed
  * @param model the model to ask for
+ * @param version the version to use where the worker has it loaded; else it uses another of the model
  * @param maxTokens the most tokens the whole answer may have
  * @param priority 0 is the most urgent
  * @param resumedText the answer so far, empty for a fresh one
@@ -19,6 +20,7 @@
         String requestId,
         ObjectNode body,
         String model,
+        String version,
         int maxTokens,
         int priority,
         String resumedText,
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpEngine.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpEngine.java
@@ -61,12 +61,16 @@
         }
         SseDecoder lines = new SseDecoder();
         ChunkDecoder chunks = new ChunkDecoder(json);
-        return content.concatMapIterable(lines::decode).concatMapIterable(chunks::decode);
+        // The buffers are released as soon as they have been handed over. An operator that keeps them for a slow caller
+        // would read them after they were filled with somebody else's answer; so they are decoded at once, and what
+        // waits is text.
+        return content.map(lines::decode).concatMapIterable(events -> events).concatMapIterable(chunks::decode);
     }
 
     private byte[] encode(EngineCall call) {
         ObjectNode body = call.body().deepCopy();
         body.put("model", call.model());
+        body.put("version", call.version());
         body.put("stream", true);
         body.put("max_tokens", call.maxTokens());
         body.put("priority", call.priority());
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpLoadReports.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpLoadReports.java
@@ -3,9 +3,13 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.dotterelcourse.coordination.order.Fence;
+import org.dotterelcourse.coordination.order.ModelVersion;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -40,9 +44,19 @@
                     report.required("running").asInt(),
                     report.required("waiting").asInt(),
                     report.path("reportedAtMillis").asLong(),
-                    report.path("leaving").asBoolean());
+                    report.path("leaving").asBoolean(),
+                    loaded(report.path("models")),
+                    Fence.of(report.path("fence").asLong()),
+                    report.path("role").asText());
         } catch (IOException e) {
             throw new UncheckedIOException("a load report is not JSON", e);
         }
     }
+
+    private static SortedSet<ModelVersion> loaded(JsonNode models) {
+        SortedSet<ModelVersion> loaded = new TreeSet<>();
+        models.forEach(each -> loaded.add(new ModelVersion(
+                each.path("model").asText(), each.path("version").asText())));
+        return loaded;
+    }
 }
--- a/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/DaemonTest.java
+++ b/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/DaemonTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.dotterelcourse.standins.ConfigurationServiceStandIn;
 import org.dotterelcourse.standins.ExpectedAnswer;
 import org.dotterelcourse.standins.Fault;
 import org.dotterelcourse.standins.RequestCount;
@@ -189,6 +190,27 @@
                 .contains(":" + fleet.daemons.get(0).callersPort() + "\""));
     }
 
+    @Test
+    void rollsAModelVersionWhileCallersAreServed() {
+        // An operator puts version 2 of a model in force. The engines have only version 1 loaded; each is to get
+        // version
+        // 2 and then lose version 1, and no caller is to notice.
+        fleet.configuration.publish(
+                ConfigurationServiceStandIn.Kind.PATCH,
+                "[patch]\nbase = 1\nauthor = test\nreason = roll\n[set class question]\nversion = 2\n"
+                        + "[set class signed]\nversion = 2\n");
+
+        FleetFixture.await(() -> {
+            HttpResponse<String> answer = fleet.send(fleet.chat(1, "question", "x [[tokens=2]]", false));
+            assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+            return fleet.hasOnly("2");
+        });
+        assertThat(fleet.get(fleet.daemons.get(0).operatorsPort(), "/audit")
+                        + fleet.get(fleet.daemons.get(1).operatorsPort(), "/audit"))
+                .contains("load bond 2")
+                .contains("unload bond 1");
+    }
+
     private String ticket() {
         HttpResponse<String> minted =
                 fleet.send(fleet.call(0, "/v1/tickets").POST(HttpRequest.BodyPublishers.noBody()));
--- a/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/FleetFixture.java
+++ b/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/FleetFixture.java
@@ -112,6 +112,19 @@
         return services[0].runs().getOrDefault(id, 0) + services[1].runs().getOrDefault(id, 0);
     }
 
+    /** Whether every engine has this version loaded and no other. */
+    boolean hasOnly(String version) {
+        String only = "\"models\":[{\"model\":\"bond\",\"version\":\"" + version + "\"}]";
+        for (EngineStandIn engine : engines) {
+            String load = send(HttpRequest.newBuilder(URI.create("http://" + engine.address() + "/v1/load")))
+                    .body();
+            if (!load.contains(only)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Waits for a condition with a bound that only a fault can reach. */
     static void await(BooleanSupplier condition) {
         long end = System.nanoTime() + Duration.ofSeconds(30).toNanos();
@@ -140,6 +153,7 @@
         ini.append("[customer bank]\nkey-sha256 = " + KEY_SHA256 + "\nclasses = question, signed, check, payout\n"
                 + "default-class = question\nrequests-per-second = 1000\ntokens-per-second = 100000\n"
                 + "[upstream llm]\nkind = engine\nregion = here\nfencing = checked\nconcurrency = 8\n"
+                + "loads-per-minute = 600\n"
                 + "[upstream counter]\nkind = service\nregion = here\nconcurrency = 8\n");
         for (int i = 0; i < 2; i++) {
             ini.append(worker("llm-" + i, "llm", engines[i].address(), i));
