Pass over long jobs once one of them has found no place

With free slots kept for short requests and only long ones queued, each decision searched a worker for up to 16 of them.

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cell/TieredScheduler.java
@@ -48,6 +48,7 @@
     private final Set<String> runningIds = new HashSet<>();
     private long lastGrant;
     private long lastSequence;
+    private boolean noRoomForLong;
     private long searchedNanos = Long.MIN_VALUE / 2;
 
     private TieredScheduler(Builder builder) {
@@ -171,8 +172,8 @@
     private void serve(List<CellEffect> effects, long nowNanos) {
         refuseExpired(effects, nowNanos);
         while (queue.size() > 0 && placement.hasRoom(nowNanos)) {
-            Optional<WaitingQueue.Taken<String>> taken =
-                    queue.next(waiting -> placement.place(candidate(waiting), nowNanos), nowNanos);
+            noRoomForLong = false;
+            Optional<WaitingQueue.Taken<String>> taken = queue.next(waiting -> place(waiting, nowNanos), nowNanos);
             if (taken.isEmpty()) {
                 return;
             }
@@ -181,6 +182,24 @@
         }
     }
 
+    /**
+     * Finds a place. When a long request that any worker would take finds none, no other long one does until something is
+     * granted; they are passed over without a search, since a queue of long jobs has many heads.
+     */
+    private Optional<String> place(Waiting waiting, long nowNanos) {
+        Candidate candidate = candidate(waiting);
+        if (candidate.isLong() && noRoomForLong) {
+            return Optional.empty();
+        }
+        Optional<String> worker = placement.place(candidate, nowNanos);
+        Ask ask = waiting.ask();
+        boolean anyWorkerWouldDo = ask.excludedWorkers().isEmpty()
+                && ask.idempotent()
+                && ask.terms().tier() > ClassTerms.HIGHEST_TIER;
+        noRoomForLong |= candidate.isLong() && worker.isEmpty() && anyWorkerWouldDo;
+        return worker;
+    }
+
     private void refuseExpired(List<CellEffect> effects, long nowNanos) {
         if (!settings.uses(Mechanism.EARLY_REFUSAL)) {
             return;
