--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Commands.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Commands.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.standins;
 
 import java.nio.charset.StandardCharsets;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -240,4 +241,41 @@
             return result.clean() ? 0 : 1;
         }
     }
+
+    /** Measures what a daemon adds to a call. */
+    @Command(name = "overhead", description = "Measure what a daemon adds to a call, against calling the stand-in")
+    public static final class Overhead implements Callable<Integer> {
+        @Option(name = "--key", description = "bearer key for the daemon")
+        @Required
+        private String key;
+
+        @Option(name = "--class", description = "request class for the daemon")
+        @Required
+        private String requestClass;
+
+        @Option(name = "--direct", description = "URL at the stand-in")
+        @Required
+        private String direct;
+
+        @Option(name = "--routed", description = "URL at the daemon")
+        @Required
+        private String routed;
+
+        @Option(name = "--body", description = "body of each call")
+        private String body = "x";
+
+        @Option(name = "--calls", description = "calls a round")
+        private int calls = 500;
+
+        @Override
+        public Integer call() {
+            Loopback.parse(URI.create(direct).getAuthority());
+            Loopback.parse(URI.create(routed).getAuthority());
+            RouterOverhead overhead = new RouterOverhead(key, requestClass);
+            for (int concurrency : new int[] {1, 8, 32}) {
+                System.out.println(overhead.row(direct, routed, body, calls, concurrency));
+            }
+            return 0;
+        }
+    }
 }
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Main.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Main.java
@@ -22,6 +22,7 @@
             Commands.Vms.class,
             Commands.Weights.class,
             Commands.Load.class,
+            Commands.Overhead.class,
             Commands.Proxy.class,
             Commands.WholePlatform.class
         })
