--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/StandIn.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/StandIn.java
@@ -11,10 +11,9 @@
     String address();
 
     /**
-     * Switches a fault on, or all faults off.
+     * Switches a fault on, or all faults off. A fault that a stand-in doesn't know changes nothing.
      *
      * @param fault the fault
-     * @throws IllegalArgumentException if this stand-in has no such fault
      */
     void fault(Fault fault);
 
