--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipPropertyTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipPropertyTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -105,6 +106,24 @@
         assertThat(fleet.converged(MemberState.ALIVE)).isTrue();
     }
 
+    /**
+     * The same in a larger fleet, where the word that all are dead comes from many at once, faster than those who are
+     * said to be dead can answer.
+     */
+    @Example
+    void healedPartitionOfALargeFleetMakesNobodyDeadInHisOwnPart() {
+        int size = 80;
+        Fleet fleet = new Fleet(size, 7, SETTINGS);
+        fleet.run(30 * SECOND);
+        partition(fleet, size);
+        fleet.run(40 * SECOND);
+        fleet.wire.heal();
+        fleet.deaths.clear();
+        fleet.run(40 * SECOND);
+        assertThat(fleet.deaths).noneMatch(death -> inFirstHalf(death.by(), size) == inFirstHalf(death.name(), size));
+        assertThat(fleet.converged(MemberState.ALIVE)).isTrue();
+    }
+
     /**
      * A VM is replaced: the new one has the name, another address and a later incarnation, while the old process was
      * only paused. When it wakes it must not fight for the name, or both would flap in everybody's view.
@@ -146,6 +165,47 @@
         }
     }
 
+    /**
+     * A VM is replaced and the clock of the new one is behind, so that its process starts with a lower incarnation than
+     * the old one had. Its peers would take all it says for old news, and no caller would be sent to it.
+     */
+    @Property(seed = "29", tries = 15)
+    void restartWithAClockThatIsBehindIsTakenIn(
+            @ForAll @IntRange(min = 2, max = 10) int size, @ForAll @IntRange(max = 1_000_000) int seed) {
+        Fleet fleet = new Fleet(size, seed, SETTINGS);
+        fleet.start(0, Fleet.name(0), 1_000_000);
+        fleet.run(20 * SECOND);
+        fleet.start(0, Fleet.name(0), 5);
+        fleet.run(30 * SECOND);
+        assertThat(fleet.superseded).isEmpty();
+        assertThat(fleet.converged(MemberState.ALIVE)).isTrue();
+    }
+
+    /**
+     * A VM is lost and the platform's list no longer has it. Waiting for its word as long as for one that may only be
+     * slow would leave its callers without an answer for longer than needed.
+     */
+    @Property(seed = "30", tries = 15)
+    void suspectThatIsOffTheListIsGivenUpSooner(
+            @ForAll @IntRange(min = 4, max = 10) int size, @ForAll @IntRange(max = 1_000_000) int seed) {
+        long unconfirmed = timeToFirstDeath(size, seed, false);
+        long confirmed = timeToFirstDeath(size, seed, true);
+        assertThat(confirmed).isLessThan(unconfirmed);
+    }
+
+    private static long timeToFirstDeath(int size, int seed, boolean offTheList) {
+        Fleet fleet = new Fleet(size, seed, SETTINGS);
+        fleet.run(20 * SECOND);
+        fleet.stop(0);
+        if (offTheList) {
+            fleet.list(fleet.nodes.keySet());
+            fleet.tellList();
+        }
+        long before = fleet.wire.now();
+        fleet.run(30 * SECOND);
+        return fleet.deaths.get(0).atNanos() - before;
+    }
+
     /**
      * A daemon shuts down. From then on nobody may send it new callers or cells, though it still answers; and a daemon
      * that has been told to leave must not come back to life in any view by a late message.
