--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
@@ -36,10 +36,11 @@
      * Runs a call. Cancelling withdraws it, or cancels it at its worker.
      *
      * @param call the call
+     * @param workers hears of each worker that it is sent to
      * @return the answer's events, ended by a finished or failed one; never an error
      */
-    public Flux<AnswerEvent> dispatch(ChatCall call) {
-        return Flux.defer(() -> attempt(new ChatProgress(call)));
+    public Flux<AnswerEvent> dispatch(ChatCall call, WorkerListener workers) {
+        return Flux.defer(() -> attempt(new ChatProgress(call, workers)));
     }
 
     private Flux<AnswerEvent> attempt(ChatProgress progress) {
@@ -62,6 +63,7 @@
     }
 
     private Flux<AnswerEvent> send(ChatProgress progress, Grant grant, GrantUse use) {
+        progress.workers().sentTo(grant.worker().name());
         return engine.stream(engineCall(progress, grant))
                 .takeUntilOther(grant.preempted())
                 .concatWith(Mono.fromSupplier(GrantUse::preempted))
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatProgress.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatProgress.java
@@ -9,13 +9,15 @@
  */
 final class ChatProgress {
     private final ChatCall call;
+    private final WorkerListener workers;
     private final StringBuilder text = new StringBuilder();
     private Ask ask;
     private int tokens;
     private boolean mayHaveRun;
 
-    ChatProgress(ChatCall call) {
+    ChatProgress(ChatCall call, WorkerListener workers) {
         this.call = call;
+        this.workers = workers;
         this.ask = Asks.of(call);
     }
 
@@ -23,6 +25,10 @@
         return call;
     }
 
+    WorkerListener workers() {
+        return workers;
+    }
+
     Ask ask() {
         return ask;
     }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ServiceDispatcher.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ServiceDispatcher.java
@@ -42,44 +42,45 @@
      * Runs a call. Cancelling withdraws it, or closes the connection to its worker.
      *
      * @param request the call
+     * @param workers hears of each worker that it is sent to
      * @return one value, never an error
      */
-    public Mono<ServiceAnswer> dispatch(ServiceRequest request) {
-        return Mono.defer(() -> attempt(request, Asks.of(request), false));
+    public Mono<ServiceAnswer> dispatch(ServiceRequest request, WorkerListener workers) {
+        return Mono.defer(() -> attempt(new Sending(request, workers), Asks.of(request), false));
     }
 
-    private Mono<ServiceAnswer> attempt(ServiceRequest request, Ask ask, boolean mayHaveRun) {
-        return grants.ask(request.requestClass().upstream(), ask).flatMap(result -> {
+    private Mono<ServiceAnswer> attempt(Sending sending, Ask ask, boolean mayHaveRun) {
+        return grants.ask(sending.request().requestClass().upstream(), ask).flatMap(result -> {
             if (result instanceof GrantResult.Granted granted) {
-                return use(request, ask, granted.grant(), mayHaveRun);
+                return use(sending, ask, granted.grant(), mayHaveRun);
             }
             return Mono.just(new ServiceAnswer.Failed(Refusals.failure((GrantResult.Refused) result, mayHaveRun)));
         });
     }
 
-    private Mono<ServiceAnswer> use(ServiceRequest request, Ask ask, Grant grant, boolean mayHaveRun) {
+    private Mono<ServiceAnswer> use(Sending sending, Ask ask, Grant grant, boolean mayHaveRun) {
         return Mono.using(
                 GrantUse::new,
                 use -> grants.mayUse(grant)
                         .flatMap(usable -> usable
-                                ? send(request, ask, grant, use, mayHaveRun)
-                                : attempt(request, ask, mayHaveRun)),
+                                ? send(sending, ask, grant, use, mayHaveRun)
+                                : attempt(sending, ask, mayHaveRun)),
                 use -> use.release(grants, grant));
     }
 
-    private Mono<ServiceAnswer> send(ServiceRequest request, Ask ask, Grant grant, GrantUse use, boolean mayHaveRun) {
-        return service.call(call(request, grant))
+    private Mono<ServiceAnswer> send(Sending sending, Ask ask, Grant grant, GrantUse use, boolean mayHaveRun) {
+        sending.workers().sentTo(grant.worker().name());
+        return service.call(call(sending.request(), grant))
                 .doOnNext(reply -> {
                     use.add(reply);
                     // Before the next attempt asks: see ChatDispatcher.
                     use.release(grants, grant);
                 })
-                .flatMap(reply -> next(request, ask, grant, reply, mayHaveRun));
+                .flatMap(reply -> next(sending, ask, grant, reply, mayHaveRun));
     }
 
-    private Mono<ServiceAnswer> next(
-            ServiceRequest request, Ask ask, Grant grant, ServiceReply reply, boolean mayHaveRun) {
-        String upstream = request.requestClass().upstream();
+    private Mono<ServiceAnswer> next(Sending sending, Ask ask, Grant grant, ServiceReply reply, boolean mayHaveRun) {
+        String upstream = sending.request().requestClass().upstream();
         if (reply instanceof ServiceReply.Answered answered) {
             retries.succeeded(upstream);
             return Mono.just(new ServiceAnswer.Answered(answered.status(), answered.contentType(), answered.body()));
@@ -88,11 +89,14 @@
         boolean mayHaveRunNow = mayHaveRun || !failure.notRun();
         Attempt attempt = Retries.attempt(grant.worker().name(), failure, 0);
         if (retries.decide(upstream, ask, attempt, false) instanceof RetryDecision.Elsewhere elsewhere) {
-            return attempt(request, elsewhere.ask(), mayHaveRunNow);
+            return attempt(sending, elsewhere.ask(), mayHaveRunNow);
         }
         return Mono.just(new ServiceAnswer.Failed(Refusals.failure(failure, mayHaveRunNow)));
     }
 
+    /** A call with its listener, the same over all its attempts. */
+    private record Sending(ServiceRequest request, WorkerListener workers) {}
+
     private static ServiceCall call(ServiceRequest request, Grant grant) {
         long target = request.requestClass().targetMillis();
         return new ServiceCall(
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatHandler.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatHandler.java
@@ -8,6 +8,7 @@
 import org.dotterelcourse.daemon.dispatch.ChatDispatcher;
 import org.dotterelcourse.daemon.metrics.RequestEnd;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
+import org.dotterelcourse.daemon.metrics.RequestWatch;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Signal;
@@ -30,9 +31,8 @@
     }
 
     Mono<Void> handle(ChatCall call, HttpServerResponse response, RequestEnd ended) {
-        Flux<AnswerEvent> events = metrics.watch(
-                        call.id(), call.customer(), call.requestClass(), call.arrivalNanos(), ended)
-                .watch(dispatcher.dispatch(call));
+        RequestWatch watch = metrics.watch(call.id(), call.customer(), call.requestClass(), call.arrivalNanos(), ended);
+        Flux<AnswerEvent> events = watch.watch(dispatcher.dispatch(call, watch));
         boolean stream = call.body().path("stream").asBoolean(false);
         return stream ? stream(call, events, response) : whole(call, events, response);
     }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ServiceRoute.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ServiceRoute.java
@@ -9,6 +9,7 @@
 import org.dotterelcourse.daemon.http.BoundedBody;
 import org.dotterelcourse.daemon.metrics.RequestEnd;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
+import org.dotterelcourse.daemon.metrics.RequestWatch;
 import reactor.core.publisher.Mono;
 
 /** Checks calls to plain services, passes them through and passes the answers back. */
@@ -88,9 +89,9 @@
     }
 
     private Mono<Void> answer(Exchange exchange, ServiceRequest request, RequestEnd end) {
-        Mono<ServiceAnswer> answer = metrics.watch(
-                        request.id(), request.customer(), request.requestClass(), request.arrivalNanos(), end)
-                .watch(dispatcher.dispatch(request));
+        RequestWatch watch =
+                metrics.watch(request.id(), request.customer(), request.requestClass(), request.arrivalNanos(), end);
+        Mono<ServiceAnswer> answer = watch.watch(dispatcher.dispatch(request, watch));
         return answer.flatMap(result -> {
             if (result instanceof ServiceAnswer.Answered answered) {
                 return Replies.answered(
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestMetrics.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestMetrics.java
@@ -84,6 +84,7 @@
         MDC.put("requestId", request.id());
         MDC.put("class", request.requestClass());
         MDC.put("customer", request.customer());
+        MDC.put("worker", request.worker());
         MDC.put("outcome", outcome.word());
         MDC.put("reason", reason);
         MDC.put("attained", attained);
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestWatch.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/RequestWatch.java
@@ -7,6 +7,7 @@
 import org.dotterelcourse.daemon.dispatch.AnswerEvent;
 import org.dotterelcourse.daemon.dispatch.Outcome;
 import org.dotterelcourse.daemon.dispatch.ServiceAnswer;
+import org.dotterelcourse.daemon.dispatch.WorkerListener;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -14,7 +15,7 @@
  * Watches one request from its arrival to its end, and hands what was seen to {@link RequestMetrics} exactly once, also
  * when its caller goes away.
  */
-public final class RequestWatch {
+public final class RequestWatch implements WorkerListener {
     /** The share of intervals between tokens that may be over the target: 95 in 100 are to be within. */
     private static final double LATE_INTERVALS_ALLOWED = 0.05;
 
@@ -25,6 +26,7 @@
     private final long arrivalNanos;
     private final RequestEnd listener;
     private final AtomicBoolean ended = new AtomicBoolean();
+    private volatile String worker = "";
     private long firstNanos = -1;
     private long lastNanos;
     private int tokens;
@@ -65,6 +67,11 @@
         return answer.doOnNext(this::saw).doOnCancel(() -> end(new Outcome.Unknown(), "cancelled"));
     }
 
+    @Override
+    public void sentTo(String name) {
+        worker = name;
+    }
+
     private void saw(AnswerEvent event) {
         if (event instanceof AnswerEvent.Piece) {
             sawToken(System.nanoTime());
@@ -110,6 +117,11 @@
         return customer;
     }
 
+    /** The worker that it was sent to last, empty if to none. */
+    String worker() {
+        return worker;
+    }
+
     String requestClass() {
         return requestClass.name();
     }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/Drain.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/Drain.java
@@ -55,6 +55,8 @@
         edge = kernel.find(CallersEdge.NAME);
         audit = kernel.find(AuditTrail.NAME);
         peers = kernel.find(Peers.NAME);
+        // Two processes under one name would both be taken for the owner of the same cells.
+        peers.onSuperseded(() -> begin("another process has this daemon's name"));
         return List.of();
     }
 
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
@@ -54,6 +54,7 @@
     private final List<MembershipListener> membershipListeners = new CopyOnWriteArrayList<>();
     private final Map<String, MemberState> states = new HashMap<>();
     private volatile List<Member> view = List.of();
+    private volatile Runnable onSuperseded = () -> {};
     private Payload payload;
     private AuditTrail audit;
     private ControlLoop loop;
@@ -227,6 +228,15 @@
                 payload.loadPermille())));
     }
 
+    /**
+     * Calls back when another process has taken this daemon's name: its VM was replaced while it was paused or cut off.
+     *
+     * @param listener must not block; there is one
+     */
+    public void onSuperseded(Runnable listener) {
+        onSuperseded = listener;
+    }
+
     /** Tells the others that this daemon is leaving. */
     public void leave() {
         driver.submit(new MembershipEvent.Leave());
@@ -305,6 +315,7 @@
                     "");
         } else if (effect instanceof MembershipEffect.Superseded superseded) {
             audit.add(AuditEvent.Kind.PROCESS, settings.name(), "replaced by " + superseded.successor(), "", "");
+            onSuperseded.run();
         }
         publishView();
         List<Member> members = view;
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/ConfigurationRelayService.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/platform/ConfigurationRelayService.java
@@ -30,6 +30,7 @@
             new ServiceName<>("configuration-relay", ConfigurationRelayService.class);
 
     private static final long TICK_NANOS = 100_000_000L;
+    private static final int MOST_FINDINGS = 20;
     private static final Logger LOG = Logger.getLogger(ConfigurationRelayService.class);
 
     private final ConfigSource source;
@@ -105,14 +106,21 @@
         } else if (effect instanceof RelayEffect.Advanced advanced) {
             peers.configurationInForce(advanced.position(), advanced.digest());
         } else if (effect instanceof RelayEffect.Refused refused) {
-            String findings = String.join("; ", refused.findings());
-            audit.add(AuditEvent.Kind.CONFIGURATION, Long.toString(refused.number()), "refused: " + findings, "", "");
+            String cause = "refused: " + summary(refused.findings());
+            audit.add(AuditEvent.Kind.CONFIGURATION, Long.toString(refused.number()), cause, "", "");
         } else if (effect instanceof RelayEffect.Raised raised) {
             LOG.error("configuration alarm " + raised.alarm());
             audit.add(AuditEvent.Kind.CONFIGURATION, "alarm", raised.alarm().toString(), "", "");
         }
     }
 
+    /** A document in which every customer is wrong has thousands of findings; a trail of them would fill the memory. */
+    private static String summary(List<String> findings) {
+        String first = String.join("; ", findings.subList(0, Math.min(MOST_FINDINGS, findings.size())));
+        int more = findings.size() - MOST_FINDINGS;
+        return more > 0 ? first + "; and " + more + " more" : first;
+    }
+
     /** The relay has one read under way at most; one that it has given up is dropped. */
     private void answer(Mono<? extends RelayEvent> read, RelayEvent none) {
         reads.update(read.cast(RelayEvent.class)
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Commands.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/Commands.java
@@ -1,7 +1,7 @@
 package org.dotterelcourse.standins;
 
-import java.nio.charset.StandardCharsets;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
--- a/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/RouterOverhead.java
+++ b/dotterelcourse-standins/src/main/java/org/dotterelcourse/standins/RouterOverhead.java
@@ -22,8 +22,9 @@
     private static final double NANOS_PER_MILLI = 1e6;
     private static final double NANOS_PER_SECOND = 1e9;
 
-    private final HttpClient client = HttpClient.create(
-            ConnectionProvider.builder("overhead").maxConnections(MAX_CONNECTIONS).build());
+    private final HttpClient client = HttpClient.create(ConnectionProvider.builder("overhead")
+            .maxConnections(MAX_CONNECTIONS)
+            .build());
     private final String key;
     private final String requestClass;
 
