Homes of limits can start with a part of the burst; the daemon's start full

Cause: a home that starts empty refuses the first calls of each customer. Before: in the demo's first second 24 of 233 balance look-ups, 13 of 295 questions and 11 of 124 reimbursements were refused as over budget, of customers that use an eighth of theirs.

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/limit/HomeAccount.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/limit/HomeAccount.java
@@ -23,12 +23,17 @@
     private Bucket requests;
     private Bucket tokens;
 
-    /** Starts empty: what an earlier home has leased out may still be spent. */
+    /** Starts with the opening part of the burst only: what an earlier home has leased out may still be spent. */
     HomeAccount(LimitSettings settings, Budget budget, long nowNanos) {
         this.settings = settings;
         this.budget = budget;
-        this.requests = new Bucket(budget.burst().requests(), 0, nowNanos);
-        this.tokens = new Bucket(budget.burst().tokens(), 0, nowNanos);
+        this.requests =
+                new Bucket(budget.burst().requests(), opening(budget.burst().requests()), nowNanos);
+        this.tokens = new Bucket(budget.burst().tokens(), opening(budget.burst().tokens()), nowNanos);
+    }
+
+    private long opening(long burst) {
+        return (long) (settings.opening() * burst);
     }
 
     void budget(Budget changed, long nowNanos) {
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/limits/Limits.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/limits/Limits.java
@@ -50,8 +50,8 @@
     private static final int BURST_SECONDS = 4;
 
     /**
-     * A call that fits its budget this soon waits for it instead of being refused. A home that has just taken over
-     * starts with nothing to lease, and would else refuse the first calls of every customer for a few milliseconds.
+     * A call that fits its budget this soon waits for it instead of being refused. A daemon that
+     * goes on alone because a home has died starts with nothing, and would else refuse for a few milliseconds.
      */
     private static final long LONGEST_HOLD_NANOS = 250_000_000L;
 
@@ -88,7 +88,7 @@
         loop = kernel.find(ControlLoop.NAME);
         peers = kernel.find(Peers.NAME);
         region = peers.region();
-        LimitSettings settings = LimitSettings.defaults();
+        LimitSettings settings = LimitSettings.defaults().withOpening(1);
         client = new LimitClient(peers.life(), settings, this::homeOf);
         home = new LimitHome(settings, loop.nowNanos());
         ownership = new Ownership(List.of(), 0, loop.nowNanos());
