--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/Daemon.java
@@ -8,7 +8,6 @@
 import org.dotterelcourse.daemon.audit.AuditTrail;
 import org.dotterelcourse.daemon.cells.LoadPoller;
 import org.dotterelcourse.daemon.cells.OwnedGrants;
-import org.dotterelcourse.daemon.cells.OwnerRule;
 import org.dotterelcourse.daemon.dispatch.Dispatchers;
 import org.dotterelcourse.daemon.edge.AddressBook;
 import org.dotterelcourse.daemon.edge.CallersEdge;
@@ -57,7 +56,7 @@
                         settings.readsPerSecond()))
                 .register(new VmWatcher(new HttpVmList(settings.vmList())))
                 .register(new Peers(settings, incarnation))
-                .register(new OwnedGrants(cell -> TieredScheduler.builder().build(), OwnerRule.SHARED))
+                .register(new OwnedGrants(cell -> TieredScheduler.builder().build()))
                 .register(new LoadPoller(new HttpLoadReports()))
                 .register(new EngineOrders(new HttpEngineControl()))
                 .register(new Dispatchers(
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/OwnedGrants.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/cells/OwnedGrants.java
@@ -57,7 +57,6 @@
     private static final Duration OWNERS_PERIOD = Duration.ofMillis(250);
 
     private final SchedulerFactory schedulers;
-    private final OwnerRule rule;
     private final Map<String, CellRuntime> cells = new TreeMap<>();
     private final Map<String, List<CellRuntime>> byUpstream = new HashMap<>();
     private final Set<String> gone = new HashSet<>();
@@ -74,11 +73,9 @@
      * Makes a source without cells.
      *
      * @param schedulers makes the scheduler of each cell
-     * @param rule who owns a cell
      */
-    public OwnedGrants(SchedulerFactory schedulers, OwnerRule rule) {
+    public OwnedGrants(SchedulerFactory schedulers) {
         this.schedulers = schedulers;
-        this.rule = rule;
     }
 
     @Override
@@ -262,7 +259,10 @@
         Ownership ownership = new Ownership(members, Peers.SUSPECT_GRACE_NANOS, loop.nowNanos());
         Set<String> askers = askers();
         for (CellRuntime cell : cells.values()) {
-            String owner = rule.owner(ownership, cell.published().cell().id(), peers.self());
+            String owner = ownership
+                    .owner(cell.published().cell().id())
+                    .map(Member::name)
+                    .orElse("");
             cell.ownerIs(owner, askers, loop.nowNanos());
         }
         status = cells.values().stream().map(CellRuntime::status).toList();
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/CallersEdge.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/CallersEdge.java
@@ -83,7 +83,7 @@
         Refuser refuser = new Refuser(metrics);
         chats = new ChatRoute(check, bodies, gate, new ChatHandler(dispatchers.chat(), metrics), refuser);
         services = new ServiceRoute(check, bodies, gate, dispatchers.service(), metrics, refuser);
-        tickets = new TicketRoute(check, once);
+        tickets = new TicketRoute(check, once, refuser);
         try {
             server = HttpServer.create()
                     .host(settings.address())
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatRoute.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ChatRoute.java
@@ -3,7 +3,6 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.dotterelcourse.configuration.RequestClass;
 import org.dotterelcourse.daemon.dispatch.ChatCall;
-import org.dotterelcourse.daemon.dispatch.Failure;
 import org.dotterelcourse.daemon.http.BoundedBody;
 import reactor.core.publisher.Mono;
 
@@ -26,35 +25,33 @@
 
     @Override
     public Mono<Void> handle(Exchange exchange) {
-        Parsed<Caller> caller = check.caller(exchange.headers());
-        if (caller instanceof Parsed.Wrong<Caller> wrong) {
-            return refuser.refuse(exchange, wrong.failure());
-        }
-        Caller known = ((Parsed.Right<Caller>) caller).value();
-        Parsed<RequestClass> found = check.chatClass(known, exchange.headers());
-        if (found instanceof Parsed.Wrong<RequestClass> wrong) {
-            return refuser.refuse(exchange, wrong.failure());
-        }
-        RequestClass requestClass = ((Parsed.Right<RequestClass>) found).value();
+        return refuser.orRefuse(
+                exchange,
+                check.caller(exchange.headers()),
+                caller -> refuser.orRefuse(
+                        exchange,
+                        check.chatClass(caller, exchange.headers()),
+                        requestClass -> read(exchange, caller.customer().name(), requestClass)));
+    }
+
+    private Mono<Void> read(Exchange exchange, String customer, RequestClass requestClass) {
         exchange.response().header(Replies.REQUEST_CLASS, requestClass.name());
         return bodies.collect(exchange.request().receive())
-                .flatMap(body -> handle(exchange, known.customer().name(), requestClass, body));
+                .flatMap(body -> refuser.orRefuse(
+                        exchange,
+                        requests.parse(exchange.id(), customer, requestClass, body, exchange.arrivalNanos()),
+                        call -> enter(exchange, call, body)));
     }
 
-    private Mono<Void> handle(Exchange exchange, String customer, RequestClass requestClass, byte[] body) {
-        Parsed<ChatCall> parsed = requests.parse(exchange.id(), customer, requestClass, body, exchange.arrivalNanos());
-        if (parsed instanceof Parsed.Wrong<ChatCall> wrong) {
-            return refuser.refuse(exchange, wrong.failure());
-        }
-        ChatCall call = ((Parsed.Right<ChatCall>) parsed).value();
+    private Mono<Void> enter(Exchange exchange, ChatCall call, byte[] body) {
         long fingerprint = Hashing.komihash5_0().hashBytesToLong(body);
-        return gate.enter(exchange, customer, requestClass, call.inputTokens(), fingerprint)
-                .flatMap(entry -> {
-                    if (entry instanceof EntryGate.Admitted admitted) {
-                        return chats.handle(call, exchange.response(), admitted.end());
-                    }
-                    Failure failure = ((EntryGate.Refused) entry).failure();
-                    return refuser.refuse(exchange, customer, requestClass.name(), failure);
-                });
+        RequestClass requestClass = call.requestClass();
+        return gate.enter(exchange, call.customer(), requestClass, call.inputTokens(), fingerprint)
+                .flatMap(entry -> refuser.orRefuse(
+                        exchange,
+                        call.customer(),
+                        requestClass.name(),
+                        entry,
+                        end -> chats.handle(call, exchange.response(), end)));
     }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/Refuser.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/Refuser.java
@@ -1,6 +1,9 @@
 package org.dotterelcourse.daemon.edge;
 
+import java.util.function.Function;
+
 import org.dotterelcourse.daemon.dispatch.Failure;
+import org.dotterelcourse.daemon.metrics.RequestEnd;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
 import reactor.core.publisher.Mono;
 
@@ -12,13 +15,28 @@
         this.metrics = metrics;
     }
 
-    /** Refuses a request whose customer or class isn't known. */
-    Mono<Void> refuse(Exchange exchange, Failure failure) {
-        return refuse(exchange, "", "", failure);
+    /** Goes on with what a request says rightly; refuses it, of a customer or class not yet known, for what it says wrongly. */
+    <T> Mono<Void> orRefuse(Exchange exchange, Parsed<T> parsed, Function<T, Mono<Void>> next) {
+        if (parsed instanceof Parsed.Wrong<T> wrong) {
+            return refuse(exchange, "", "", wrong.failure());
+        }
+        return next.apply(((Parsed.Right<T>) parsed).value());
+    }
+
+    /** Goes on with a request that was admitted, or refuses it. */
+    Mono<Void> orRefuse(
+            Exchange exchange,
+            String customer,
+            String requestClass,
+            EntryGate.Entry entry,
+            Function<RequestEnd, Mono<Void>> next) {
+        if (entry instanceof EntryGate.Refused refused) {
+            return refuse(exchange, customer, requestClass, refused.failure());
+        }
+        return next.apply(((EntryGate.Admitted) entry).end());
     }
 
-    /** Refuses a request of a customer in a class. */
-    Mono<Void> refuse(Exchange exchange, String customer, String requestClass, Failure failure) {
+    private Mono<Void> refuse(Exchange exchange, String customer, String requestClass, Failure failure) {
         metrics.refused(exchange.id(), customer, requestClass, failure);
         return Replies.problem(exchange.response(), failure, exchange.id());
     }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ServiceRoute.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/ServiceRoute.java
@@ -2,7 +2,6 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.dotterelcourse.configuration.RequestClass;
-import org.dotterelcourse.daemon.dispatch.Failure;
 import org.dotterelcourse.daemon.dispatch.ServiceAnswer;
 import org.dotterelcourse.daemon.dispatch.ServiceDispatcher;
 import org.dotterelcourse.daemon.dispatch.ServiceRequest;
@@ -41,24 +40,24 @@
 
     @Override
     public Mono<Void> handle(Exchange exchange) {
-        Parsed<Caller> caller = check.caller(exchange.headers());
-        if (caller instanceof Parsed.Wrong<Caller> wrong) {
-            return refuser.refuse(exchange, wrong.failure());
-        }
-        Caller known = ((Parsed.Right<Caller>) caller).value();
         String rest = exchange.request().uri().substring(PREFIX.length());
         int slash = rest.indexOf('/');
         String upstream = slash < 0 ? rest : rest.substring(0, slash);
         String path = slash < 0 ? "/" : rest.substring(slash);
-        Parsed<RequestClass> found = check.serviceClass(known, exchange.headers(), upstream);
-        if (found instanceof Parsed.Wrong<RequestClass> wrong) {
-            return refuser.refuse(exchange, wrong.failure());
-        }
-        RequestClass requestClass = ((Parsed.Right<RequestClass>) found).value();
+        return refuser.orRefuse(
+                exchange,
+                check.caller(exchange.headers()),
+                caller -> refuser.orRefuse(
+                        exchange,
+                        check.serviceClass(caller, exchange.headers(), upstream),
+                        requestClass -> read(exchange, caller.customer().name(), requestClass, path)));
+    }
+
+    private Mono<Void> read(Exchange exchange, String customer, RequestClass requestClass, String path) {
         exchange.response().header(Replies.REQUEST_CLASS, requestClass.name());
         return bodies.collect(exchange.request().receive())
-                .map(body -> request(exchange, known.customer().name(), requestClass, path, body))
-                .flatMap(request -> once(exchange, request));
+                .map(body -> request(exchange, customer, requestClass, path, body))
+                .flatMap(request -> enter(exchange, request));
     }
 
     private static ServiceRequest request(
@@ -74,22 +73,21 @@
                 exchange.arrivalNanos());
     }
 
-    private Mono<Void> once(Exchange exchange, ServiceRequest request) {
+    private Mono<Void> enter(Exchange exchange, ServiceRequest request) {
         long fingerprint = Hashing.komihash5_0()
                 .hashStream()
                 .putString(request.method())
                 .putString(request.path())
                 .putByteArray(request.body())
                 .getAsLong();
-        return gate.enter(exchange, request.customer(), request.requestClass(), 0, fingerprint)
-                .flatMap(entry -> {
-                    if (entry instanceof EntryGate.Admitted admitted) {
-                        return answer(exchange, request, admitted.end());
-                    }
-                    Failure failure = ((EntryGate.Refused) entry).failure();
-                    return refuser.refuse(
-                            exchange, request.customer(), request.requestClass().name(), failure);
-                });
+        RequestClass requestClass = request.requestClass();
+        return gate.enter(exchange, request.customer(), requestClass, 0, fingerprint)
+                .flatMap(entry -> refuser.orRefuse(
+                        exchange,
+                        request.customer(),
+                        requestClass.name(),
+                        entry,
+                        end -> answer(exchange, request, end)));
     }
 
     private Mono<Void> answer(Exchange exchange, ServiceRequest request, RequestEnd end) {
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/TicketRoute.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/edge/TicketRoute.java
@@ -18,20 +18,24 @@
 
     private final CallerCheck check;
     private final Tickets tickets;
+    private final Refuser refuser;
     private final ObjectMapper json = new ObjectMapper();
 
-    TicketRoute(CallerCheck check, Tickets tickets) {
+    TicketRoute(CallerCheck check, Tickets tickets, Refuser refuser) {
         this.check = check;
         this.tickets = tickets;
+        this.refuser = refuser;
     }
 
     @Override
     public Mono<Void> handle(Exchange exchange) {
-        Parsed<Caller> caller = check.caller(exchange.headers());
-        if (caller instanceof Parsed.Wrong<Caller> wrong) {
-            return Replies.problem(exchange.response(), wrong.failure(), exchange.id());
-        }
-        String customer = ((Parsed.Right<Caller>) caller).value().customer().name();
+        return refuser.orRefuse(
+                exchange,
+                check.caller(exchange.headers()),
+                caller -> handle(exchange, caller.customer().name()));
+    }
+
+    private Mono<Void> handle(Exchange exchange, String customer) {
         String method = exchange.request().method().name();
         String path = exchange.request().fullPath();
         if (method.equals("POST") && path.equals(PATH)) {
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpLoadReports.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpLoadReports.java
@@ -44,7 +44,6 @@
                     report.required("running").asInt(),
                     report.required("waiting").asInt(),
                     report.path("reportedAtMillis").asLong(),
-                    report.path("leaving").asBoolean(),
                     loaded(report.path("models")),
                     Fence.of(report.path("fence").asLong()),
                     report.path("role").asText());
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/LoadReport.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/LoadReport.java
@@ -11,16 +11,9 @@
  * @param running requests in its batch
  * @param waiting requests that wait at the engine
  * @param reportedAtMillis when it was true, by the engine's wall clock
- * @param leaving whether it takes no more work
  * @param loaded the model versions that it serves
  * @param fence the highest fencing number that it has seen
  * @param role its role
  */
 public record LoadReport(
-        int running,
-        int waiting,
-        long reportedAtMillis,
-        boolean leaving,
-        SortedSet<ModelVersion> loaded,
-        Fence fence,
-        String role) {}
+        int running, int waiting, long reportedAtMillis, SortedSet<ModelVersion> loaded, Fence fence, String role) {}
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/budget/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Customers' budgets of requests and tokens. */
-package org.dotterelcourse.policy.budget;
