--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpEngine.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpEngine.java
@@ -21,12 +21,13 @@
     private final ObjectMapper json = new ObjectMapper();
 
     /**
-     * Makes a client with a connection pool of its own.
+     * Makes a client. Each call has a connection of its own: it is closed at the answer's end mark, or cancelled with the
+     * work, so there would be none to use again.
      *
      * @param timeouts how long a worker may stay silent
      */
     public HttpEngine(UpstreamTimeouts timeouts) {
-        this.client = UpstreamClients.pooled(timeouts.connect());
+        this.client = UpstreamClients.fresh(timeouts.connect());
         this.timeouts = timeouts;
     }
 
--- a/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/DaemonTest.java
+++ b/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/DaemonTest.java
@@ -211,6 +211,19 @@
                 .contains("unload bond 1");
     }
 
+    @Test
+    void showsOperatorsWhatItCountedAndTellsThemWhatIsWrongWithACall() {
+        fleet.send(fleet.service(0, "payout", "m-1"));
+        fleet.send(fleet.service(0, "nonsense", "m-2"));
+        int port = fleet.daemons.get(0).operatorsPort();
+
+        assertThat(fleet.get(port, "/classes")).contains("\"payout\":{\"attained\":1,\"outcome.answered\":1");
+        assertThat(fleet.get(port, "/metrics")).contains("class_payout_outcome_answered 1.0", "refused_404 1.0");
+        assertThat(fleet.get(port, "/metrics.json")).contains("\"class.payout.duration.count\":1");
+        assertThat(fleet.get(port, "/configuration")).contains("\"number\":1", "\"draining\":false");
+        assertThat(fleet.get(port, "/audit?after=x")).isEqualTo("after: expected a whole number, found x\n");
+    }
+
     private String ticket() {
         HttpResponse<String> minted =
                 fleet.send(fleet.call(0, "/v1/tickets").POST(HttpRequest.BodyPublishers.noBody()));
