--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/DaemonSettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/DaemonSettingsReader.java
@@ -48,29 +48,16 @@
      */
     public Checked<DaemonSettings> read(String name, String ini) {
         Findings findings = new Findings();
-        Map<String, IniSection> sections = new LinkedHashMap<>();
-        for (IniSection section : IniText.read(name, ini, findings)) {
-            if (!KEYS.containsKey(section.header())) {
-                String found = NearestName.hint(section.header(), KEYS.keySet());
-                findings.add(
-                        name, section.header(), "", "one of the sections " + String.join(", ", KEYS.keySet()), found);
-            }
-            sections.put(section.header(), section);
-        }
-        Map<String, SectionReader> readers = new LinkedHashMap<>();
-        KEYS.forEach((header, keys) -> {
-            IniSection empty = new IniSection(name, header, Map.of());
-            readers.put(header, new SectionReader(sections.getOrDefault(header, empty), keys, findings));
-        });
-        DaemonSettings settings = settings(readers);
+        SettingsSections sections = SettingsSections.read(name, ini, KEYS, findings);
+        DaemonSettings settings = settings(sections);
         return findings.none() ? new Checked.Valid<>(settings) : findings.invalid(List.copyOf(KEYS.keySet()));
     }
 
-    private static DaemonSettings settings(Map<String, SectionReader> readers) {
-        SectionReader daemon = readers.get("daemon");
-        SectionReader listen = readers.get("listen");
-        SectionReader platform = readers.get("platform");
-        SectionReader edge = readers.get("edge");
+    private static DaemonSettings settings(SettingsSections sections) {
+        SectionReader daemon = sections.section("daemon");
+        SectionReader listen = sections.section("listen");
+        SectionReader platform = sections.section("platform");
+        SectionReader edge = sections.section("edge");
         long drainSeconds =
                 daemon.optional(DRAIN_LIMIT, Value.integer(1, LONGEST_DRAIN_SECONDS), DEFAULT_DRAIN_SECONDS);
         long timeToLiveSeconds = edge.optional(
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Value.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Value.java
@@ -42,6 +42,10 @@
     static final Value<String> ADDRESS =
             new Value<>("an IP number and port, as in 127.0.0.1:9101", "", IpAddress::numberAndPort);
 
+    /** IP numbers and ports between commas, none at all allowed. */
+    static final Value<List<String>> ADDRESSES =
+            new Value<>("IP numbers and ports between commas", List.of(), Value::parseAddresses);
+
     /** An IP number. */
     static final Value<String> IP_NUMBER = new Value<>("an IP number, as in 127.0.0.1", "", IpAddress::number);
 
@@ -117,6 +121,16 @@
         return DECIMAL.matcher(text).matches() ? Optional.of(new BigDecimal(text).doubleValue()) : Optional.empty();
     }
 
+    private static Optional<List<String>> parseAddresses(String text) {
+        if (text.isBlank()) {
+            return Optional.of(List.of());
+        }
+        List<String> addresses = List.of(LIST_SEPARATOR.split(text.trim(), -1));
+        boolean right = addresses.stream()
+                .allMatch(each -> IpAddress.numberAndPort(each).isPresent());
+        return right ? Optional.of(addresses) : Optional.empty();
+    }
+
     private static Optional<List<String>> parseNames(String text) {
         List<String> names = List.of(LIST_SEPARATOR.split(text.trim(), -1));
         TreeSet<String> sorted = new TreeSet<>(names);
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -0,0 +1,168 @@
+package org.dotterelcourse.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.dotterelcourse.daemon.audit.AuditEvent;
+import org.dotterelcourse.daemon.audit.AuditTrail;
+import org.dotterelcourse.daemon.kernel.Kernel;
+import org.dotterelcourse.daemon.kernel.Service;
+import org.dotterelcourse.daemon.kernel.ServiceName;
+import org.dotterelcourse.daemon.kernel.StartFinding;
+import org.dotterelcourse.gateway.routing.RoutingTable;
+import org.dotterelcourse.gateway.workers.WorkerEntry;
+import org.dotterelcourse.gateway.workers.Workers;
+import org.dotterelcourse.policy.repeat.RepeatBudget;
+
+/** What the gateway believes: the routing table in force, the workers, the budgets. Used on the gateway's loop only. */
+public final class GatewayState implements Service {
+    /** The name that it is found by. */
+    public static final ServiceName<GatewayState> NAME = new ServiceName<>("gateway-state", GatewayState.class);
+
+    private final Workers workers = new Workers();
+    private final Map<String, RepeatBudget> budgets = new HashMap<>();
+    private final RepeatLimit limit;
+    private AuditTrail audit;
+    private volatile RoutingTable table;
+    private volatile boolean workersKnown;
+    private int processes = 1;
+
+    /**
+     * The fleet's bound on repeats to one upstream.
+     *
+     * @param ratio repeats for each request
+     * @param extra repeats in a window beside these, of all processes together
+     * @param windowNanos the window's length
+     */
+    public record RepeatLimit(double ratio, double extra, long windowNanos) {}
+
+    /**
+     * Makes a state that knows nothing.
+     *
+     * @param limit the bound on repeats
+     */
+    public GatewayState(RepeatLimit limit) {
+        this.limit = limit;
+    }
+
+    @Override
+    public ServiceName<GatewayState> name() {
+        return NAME;
+    }
+
+    @Override
+    public List<ServiceName<?>> dependencies() {
+        return List.of(AuditTrail.NAME);
+    }
+
+    @Override
+    public List<StartFinding> start(Kernel kernel) {
+        audit = kernel.find(AuditTrail.NAME);
+        return List.of();
+    }
+
+    @Override
+    public void stop() {
+        // It holds no resources.
+    }
+
+    /**
+     * The routing table in force.
+     *
+     * @return empty until one is known
+     */
+    public Optional<RoutingTable> table() {
+        return Optional.ofNullable(table);
+    }
+
+    /**
+     * Puts a routing table in force, unless one with a higher number is.
+     *
+     * @param next the table
+     */
+    public void publish(RoutingTable next) {
+        long before = table == null ? 0 : table.number();
+        if (next.number() <= before) {
+            return;
+        }
+        table = next;
+        audit.add(AuditEvent.Kind.CONFIGURATION, "routing", "published", "" + before, "" + next.number());
+    }
+
+    /**
+     * A worker is published or has changed.
+     *
+     * @param entry the worker
+     */
+    public void publish(WorkerEntry entry) {
+        String before =
+                workers.find(entry.id()).map(known -> describe(known.entry())).orElse("");
+        workers.published(entry);
+        if (!before.equals(describe(entry))) {
+            audit.add(AuditEvent.Kind.UPSTREAM, entry.id(), "published", before, describe(entry));
+        }
+    }
+
+    /**
+     * A worker is published no more.
+     *
+     * @param id its name
+     */
+    public void gone(String id) {
+        workers.gone(id)
+                .ifPresent(entry -> audit.add(AuditEvent.Kind.UPSTREAM, id, "published", describe(entry), "gone"));
+    }
+
+    /** Every published worker has been read once. */
+    public void workersKnown() {
+        workersKnown = true;
+    }
+
+    /**
+     * Whether requests can be served.
+     *
+     * @return true once a routing table and the workers are known
+     */
+    public boolean ready() {
+        return table != null && workersKnown;
+    }
+
+    /**
+     * The workers.
+     *
+     * @return all that are published
+     */
+    public Workers workers() {
+        return workers;
+    }
+
+    /**
+     * The budget of repeats to an upstream.
+     *
+     * @param upstream its name
+     * @return this process's part
+     */
+    public RepeatBudget budget(String upstream) {
+        return budgets.computeIfAbsent(upstream, name -> {
+            RepeatBudget budget = new RepeatBudget(limit.ratio(), limit.extra(), limit.windowNanos());
+            budget.processes(processes);
+            return budget;
+        });
+    }
+
+    /**
+     * The size of the fleet is known.
+     *
+     * @param count processes, this one included
+     */
+    public void processes(int count) {
+        processes = Math.max(processes, count);
+        budgets.values().forEach(budget -> budget.processes(count));
+    }
+
+    private static String describe(WorkerEntry entry) {
+        return entry.upstream() + " " + entry.host() + ":" + entry.port() + (entry.leaving() ? " leaving" : " live");
+    }
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RetryAfter.java
@@ -0,0 +1,14 @@
+package org.dotterelcourse.gateway.edge;
+
+import java.util.Locale;
+
+/** The value of Retry-After; clients of this router take fractions of a second, which RFC 9110 does not have. */
+final class RetryAfter {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private RetryAfter() {}
+
+    static String seconds(long millis) {
+        return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP side towards clients. */
+package org.dotterelcourse.gateway.edge;
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -0,0 +1,145 @@
+package org.dotterelcourse.gateway.forward;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import org.dotterelcourse.gateway.routing.Route;
+import org.dotterelcourse.policy.selection.Prompt;
+
+/** One request that was let in, with what has been tried for it. */
+public final class Call {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final Terms terms;
+    private final HttpMethod method;
+    private final String uri;
+    private final HttpHeaders headers;
+    private final byte[] body;
+    private final Set<String> tried = new HashSet<>();
+    private int sends;
+    private int connectFailures;
+    private String lastEventId = "";
+    private String lastWorker = "";
+
+    /**
+     * What the request was let in as.
+     *
+     * @param id its id
+     * @param route its route
+     * @param upstream the upstream that serves it
+     * @param engine whether that runs model engines
+     * @param customer whose it is, empty if nobody's
+     * @param priority urgency, 0 the highest
+     * @param prompt what it asks of an engine
+     * @param arrivalNanos when it came
+     * @param clientDeadlineNanos when its client gives up
+     * @param deadlineNanos when it must have its final answer
+     */
+    public record Terms(
+            String id,
+            Route route,
+            String upstream,
+            boolean engine,
+            String customer,
+            int priority,
+            Optional<Prompt> prompt,
+            long arrivalNanos,
+            long clientDeadlineNanos,
+            long deadlineNanos) {}
+
+    /**
+     * Makes a call of which nothing was tried yet.
+     *
+     * @param terms what it was let in as
+     * @param method its method
+     * @param uri path and query as the client sent them
+     * @param headers those of the client's headers that are passed on
+     * @param body its whole body
+     */
+    public Call(Terms terms, HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+        this.terms = terms;
+        this.method = method;
+        this.uri = uri;
+        this.headers = headers;
+        this.body = body;
+    }
+
+    /**
+     * What it was let in as.
+     *
+     * @return the terms
+     */
+    public Terms terms() {
+        return terms;
+    }
+
+    HttpMethod method() {
+        return method;
+    }
+
+    String uri() {
+        return uri;
+    }
+
+    HttpHeaders headers() {
+        return headers;
+    }
+
+    byte[] body() {
+        return body;
+    }
+
+    long leftMillis(long nowNanos) {
+        return (terms.deadlineNanos() - nowNanos) / NANOS_PER_MILLI;
+    }
+
+    Set<String> tried() {
+        return tried;
+    }
+
+    /** A worker is about to get the request. */
+    void sending(String worker) {
+        tried.add(worker);
+        lastWorker = worker;
+        sends++;
+    }
+
+    /** The worker could not be reached: it got nothing, so that the send doesn't count. */
+    void notReached() {
+        sends--;
+        connectFailures++;
+    }
+
+    /**
+     * How many workers were sent the request.
+     *
+     * @return those that could not be reached left out
+     */
+    public int sends() {
+        return sends;
+    }
+
+    int connectFailures() {
+        return connectFailures;
+    }
+
+    String lastEventId() {
+        return lastEventId;
+    }
+
+    void lastEventId(String id) {
+        lastEventId = id;
+    }
+
+    /**
+     * The worker that had it last.
+     *
+     * @return its name, empty if none
+     */
+    public String lastWorker() {
+        return lastWorker;
+    }
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -0,0 +1,264 @@
+package org.dotterelcourse.gateway.forward;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.dotterelcourse.daemon.kernel.Kernel;
+import org.dotterelcourse.daemon.kernel.Service;
+import org.dotterelcourse.daemon.kernel.ServiceName;
+import org.dotterelcourse.daemon.kernel.StartFinding;
+import org.dotterelcourse.gateway.GatewayLoop;
+import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.workers.Placement;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Sends a request to a worker, and to another one where that is allowed and pays, until there is a final answer. */
+public final class Forwarder implements Service {
+    /** The name that it is found by. */
+    public static final ServiceName<Forwarder> NAME = new ServiceName<>("forwarder", Forwarder.class);
+
+    /** Workers that can't be reached cost a connect timeout each; after three of them the client had better come back. */
+    private static final int MOST_CONNECT_FAILURES = 3;
+
+    /** About the work of a few plain calls: by then a slot has become free. */
+    private static final long RETRY_AFTER_FULL_MILLIS = 250;
+
+    /** Below this no worker can answer in time, so that none is bothered. */
+    private static final long LEAST_LEFT_MILLIS = 15;
+
+    /** A worker's own answer at the deadline is on its way by then. */
+    private static final long DEADLINE_GRACE_MILLIS = 60;
+
+    private final String dataCentre;
+    private final Dialect dialect;
+    private GatewayLoop loop;
+    private GatewayState state;
+    private WorkerClient client;
+    private Selection selection;
+
+    /**
+     * Makes a forwarder.
+     *
+     * @param dataCentre where this process stands
+     * @param dialect how workers spell things
+     */
+    public Forwarder(String dataCentre, Dialect dialect) {
+        this.dataCentre = dataCentre;
+        this.dialect = dialect;
+    }
+
+    @Override
+    public ServiceName<Forwarder> name() {
+        return NAME;
+    }
+
+    @Override
+    public List<ServiceName<?>> dependencies() {
+        return List.of(GatewayLoop.NAME, GatewayState.NAME);
+    }
+
+    @Override
+    public List<StartFinding> start(Kernel kernel) {
+        loop = kernel.find(GatewayLoop.NAME);
+        state = kernel.find(GatewayState.NAME);
+        client = new WorkerClient(loop);
+        selection = new Selection(dataCentre, state, RandomGenerator.getDefault());
+        return List.of();
+    }
+
+    @Override
+    public void stop() {
+        // Connections end with the loop.
+    }
+
+    /**
+     * Forwards a request. Cancelling it takes the request back from its worker.
+     *
+     * @param call the request
+     * @return the answer, exactly one
+     */
+    public Mono<Reply> forward(Call call) {
+        return Mono.defer(() -> {
+            state.budget(call.terms().upstream()).request(loop.nowNanos());
+            selection.arrived(call, loop.nowNanos());
+            return attempt(call, Optional.empty());
+        });
+    }
+
+    private Mono<Reply> attempt(Call call, Optional<WholeAnswer> earlier) {
+        long now = loop.nowNanos();
+        if (call.leftMillis(now) < LEAST_LEFT_MILLIS) {
+            return Mono.just(giveUp(call, "no time left"));
+        }
+        Optional<Placement> chosen = selection.place(call, now);
+        if (chosen.isEmpty()) {
+            return Mono.just(earlier.map(Forwarder::whole).orElseGet(() -> noWorker(call)));
+        }
+        Placement placement = chosen.get();
+        return send(call, placement)
+                .timeout(Duration.ofMillis(call.leftMillis(now) + DEADLINE_GRACE_MILLIS), loop.scheduler())
+                .onErrorResume(TimeoutException.class, error -> Mono.just(giveUp(call, "timeout")))
+                .onErrorResume(SendFailure.class, error -> failed(call, placement, error, earlier))
+                .doOnCancel(placement::ended);
+    }
+
+    private Mono<Reply> send(Call call, Placement placement) {
+        return client.send(placement.entry(), call.method(), call.uri(), workerHeaders(call, placement), call.body())
+                .flatMap(open -> answered(call, placement, open))
+                .doOnError(error -> placement.ended());
+    }
+
+    private Mono<Reply> answered(Call call, Placement placement, OpenAnswer open) {
+        boolean own = dialect.marked(open.headers())
+                && dialect.requestId(open.headers()).equals(call.terms().id());
+        if (call.terms().route().streaming() && own && open.status() / 100 == 2 && !encoded(open.headers())) {
+            return Mono.just(new Reply.Stream(open.status(), open.headers(), relay(call, placement, open)));
+        }
+        return collect(open)
+                .doFinally(signal -> placement.ended())
+                .flatMap(answer -> decide(call, placement, classify(call, answer), Optional.empty()));
+    }
+
+    private static boolean encoded(HttpHeaders headers) {
+        return headers.contains(HttpHeaderNames.CONTENT_ENCODING);
+    }
+
+    private static Mono<WholeAnswer> collect(OpenAnswer open) {
+        return open.body()
+                .collect(ByteArrayOutputStream::new, ByteArrayOutputStream::writeBytes)
+                .map(bytes -> new WholeAnswer(open.status(), open.headers(), bytes.toByteArray()));
+    }
+
+    private AttemptResult classify(Call call, WholeAnswer answer) {
+        if (dialect.notRun(answer.status(), answer.headers())) {
+            return new AttemptResult.NotRun("refused with " + answer.status(), true);
+        }
+        if (!dialect.requestId(answer.headers()).equals(call.terms().id())) {
+            return new AttemptResult.Unknown("an answer to another request came");
+        }
+        if (!dialect.marked(answer.headers()) || encoded(answer.headers())) {
+            return new AttemptResult.Unknown("the answer is not a worker's");
+        }
+        if (StatusPromise.notRun(answer.status())) {
+            return new AttemptResult.Unknown("a refusal without the worker's word that it has not run");
+        }
+        return new AttemptResult.Answered(answer);
+    }
+
+    private Mono<Reply> failed(Call call, Placement placement, SendFailure error, Optional<WholeAnswer> earlier) {
+        if (!error.sent()) {
+            call.notReached();
+            return decide(
+                    call, placement, new AttemptResult.NotRun("not reached: " + error.getMessage(), false), earlier);
+        }
+        return decide(call, placement, new AttemptResult.Unknown(error.getMessage()), earlier);
+    }
+
+    private Mono<Reply> decide(Call call, Placement placement, AttemptResult result, Optional<WholeAnswer> earlier) {
+        long now = loop.nowNanos();
+        if (result instanceof AttemptResult.Answered answered) {
+            return answered(call, placement, answered.answer(), now);
+        }
+        placement.failed(now);
+        if (result instanceof AttemptResult.NotRun notRun) {
+            boolean again = notRun.reached() ? mayRepeat(call, now) : call.connectFailures() < MOST_CONNECT_FAILURES;
+            return again
+                    ? attempt(call, earlier)
+                    : Mono.just(earlier.map(Forwarder::whole)
+                            .orElseGet(() -> own(OwnAnswer.notRun(notRun.reason(), RETRY_AFTER_FULL_MILLIS))));
+        }
+        AttemptResult.Unknown unknown = (AttemptResult.Unknown) result;
+        if (call.terms().route().repeatable() && mayRepeat(call, now)) {
+            return attempt(call, earlier);
+        }
+        return Mono.just(earlier.map(Forwarder::whole).orElseGet(() -> own(OwnAnswer.unknown(unknown.reason()))));
+    }
+
+    /** A failure that an idempotent request may outlive is tried elsewhere; if that fails too, this answer stands. */
+    private Mono<Reply> answered(Call call, Placement placement, WholeAnswer answer, long now) {
+        if (!answer.failed()) {
+            placement.succeeded(now);
+            return Mono.just(whole(answer));
+        }
+        placement.failed(now);
+        if (call.terms().route().repeatable() && mayRepeat(call, now)) {
+            return attempt(call, Optional.of(answer));
+        }
+        return Mono.just(whole(answer));
+    }
+
+    private boolean mayRepeat(Call call, long now) {
+        return call.sends() < call.terms().route().maxAttempts()
+                && call.leftMillis(now) >= LEAST_LEFT_MILLIS
+                && state.budget(call.terms().upstream()).take(now);
+    }
+
+    private Flux<byte[]> relay(Call call, Placement placement, OpenAnswer open) {
+        EventFramer framer = new EventFramer();
+        return open.body()
+                .concatMapIterable(framer::take)
+                .doOnNext(event -> {
+                    placement.started();
+                    call.lastEventId(event.id());
+                })
+                .map(EventFramer.Event::bytes)
+                .concatWith(Mono.defer(() -> framer.betweenEvents()
+                        ? Mono.empty()
+                        : Mono.error(new SendFailure(true, new IllegalStateException("ended inside an event")))))
+                .doOnComplete(() -> placement.succeeded(loop.nowNanos()))
+                .doFinally(signal -> placement.ended())
+                .onErrorResume(SendFailure.class, error -> resume(call, placement, error));
+    }
+
+    /** Goes on after the last whole event at another worker; the broken connection has stopped the first one. */
+    private Flux<byte[]> resume(Call call, Placement placement, SendFailure error) {
+        long now = loop.nowNanos();
+        placement.failed(now);
+        if (!call.terms().route().repeatable() || !mayRepeat(call, now)) {
+            return Flux.error(error);
+        }
+        return attempt(call, Optional.empty())
+                .flatMapMany(reply -> reply instanceof Reply.Stream stream ? stream.events() : Flux.error(error));
+    }
+
+    private HttpHeaders workerHeaders(Call call, Placement placement) {
+        HttpHeaders headers = new DefaultHttpHeaders().add(call.headers());
+        Call.Terms terms = call.terms();
+        long left = Math.max(1, call.leftMillis(loop.nowNanos()));
+        dialect.tellWorker(
+                headers,
+                new Dialect.ToWorker(placement.entry().id(), terms.customer(), left, terms.priority(), terms.engine()));
+        if (!call.lastEventId().isEmpty()) {
+            headers.set(dialect.lastEventHeader(), call.lastEventId());
+        }
+        return headers;
+    }
+
+    private static Reply giveUp(Call call, String reason) {
+        return call.sends() == 0
+                ? own(OwnAnswer.notRun(reason, RETRY_AFTER_FULL_MILLIS))
+                : own(new OwnAnswer(OwnAnswer.GATEWAY_TIMEOUT, reason, 0));
+    }
+
+    private static Reply noWorker(Call call) {
+        return call.sends() == 0
+                ? own(OwnAnswer.notRun("no worker is free", RETRY_AFTER_FULL_MILLIS))
+                : own(OwnAnswer.unknown("no other worker is free"));
+    }
+
+    private static Reply own(OwnAnswer answer) {
+        return new Reply.Own(answer);
+    }
+
+    private static Reply whole(WholeAnswer answer) {
+        return new Reply.Whole(answer.status(), answer.headers(), answer.body());
+    }
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/ItemDecoder.java
@@ -0,0 +1,22 @@
+package org.dotterelcourse.gateway.published;
+
+/** Turns items into what the router believes. */
+public interface ItemDecoder {
+    /**
+     * An item was published, changed or deleted.
+     *
+     * @param item its newest state
+     */
+    void changed(PublishedItem item);
+
+    /**
+     * Whether an item's deletion may be undone shortly after the store has come back.
+     *
+     * @param key the item's key
+     * @return true for entries that their owners renew
+     */
+    boolean renewed(String key);
+
+    /** All items are known up to some revision. */
+    void complete();
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
@@ -0,0 +1,129 @@
+package org.dotterelcourse.gateway.published;
+
+import java.util.List;
+
+import org.dotterelcourse.daemon.kernel.Kernel;
+import org.dotterelcourse.daemon.kernel.Service;
+import org.dotterelcourse.daemon.kernel.ServiceName;
+import org.dotterelcourse.daemon.kernel.StartFinding;
+import org.dotterelcourse.gateway.GatewayLoop;
+import org.dotterelcourse.gateway.GatewayState;
+
+/**
+ * Takes what the store and peers tell of published items, and has the news decoded. Used on the gateway's loop only.
+ *
+ * <p>Workers renew their entries; while the store is away these run out. A process that dropped all of them in the
+ * moment of the store's return would refuse everything for a second or two. So such deletions take effect a little
+ * after the return, unless the worker has come back by then.
+ */
+public final class Publications implements Service {
+    /** The name that it is found by. */
+    public static final ServiceName<Publications> NAME = new ServiceName<>("publications", Publications.class);
+
+    /** Live workers are back within two seconds of the store's return; the bound on new work at a leaving one is two. */
+    private static final long HOLD_MILLIS = 1_900;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final PublishedItems items = new PublishedItems();
+    private final ItemDecoder decoder;
+    private GatewayLoop loop;
+    private long holdUntilNanos;
+    private boolean complete;
+
+    /**
+     * Makes publications of which nothing is known.
+     *
+     * @param decoder takes the news
+     */
+    public Publications(ItemDecoder decoder) {
+        this.decoder = decoder;
+    }
+
+    @Override
+    public ServiceName<Publications> name() {
+        return NAME;
+    }
+
+    @Override
+    public List<ServiceName<?>> dependencies() {
+        return List.of(GatewayLoop.NAME, GatewayState.NAME);
+    }
+
+    @Override
+    public List<StartFinding> start(Kernel kernel) {
+        loop = kernel.find(GatewayLoop.NAME);
+        holdUntilNanos = loop.nowNanos();
+        return List.of();
+    }
+
+    @Override
+    public void stop() {
+        // It holds no resources.
+    }
+
+    /**
+     * The revision up to which everything is known.
+     *
+     * @return 0 before the first whole state
+     */
+    public long revision() {
+        return items.revision();
+    }
+
+    /**
+     * All items that exist, for a peer that is behind.
+     *
+     * @return the items
+     */
+    public List<PublishedItem> live() {
+        return items.live();
+    }
+
+    /** The store answers again after it did not. */
+    public void storeBack() {
+        holdUntilNanos = loop.nowNanos() + HOLD_MILLIS * NANOS_PER_MILLI;
+    }
+
+    /**
+     * Changes were read that follow the known revision.
+     *
+     * @param changes the changes
+     * @param upTo the revision up to which they are complete
+     */
+    public void changes(List<PublishedItem> changes, long upTo) {
+        apply(items.merge(changes, upTo));
+    }
+
+    /**
+     * A whole state was read, from the store or a peer.
+     *
+     * @param state all items
+     * @param at its revision
+     */
+    public void state(List<PublishedItem> state, long at) {
+        apply(items.replace(state, at));
+        if (!complete && at > 0) {
+            complete = true;
+            decoder.complete();
+        }
+    }
+
+    private void apply(List<PublishedItem> news) {
+        for (PublishedItem item : news) {
+            long heldNanos = holdUntilNanos - loop.nowNanos();
+            if (item.deleted() && heldNanos > 0 && decoder.renewed(item.key())) {
+                loop.after(heldNanos / NANOS_PER_MILLI + 1, () -> deleteUnlessBack(item));
+            } else {
+                decoder.changed(item);
+            }
+        }
+    }
+
+    private void deleteUnlessBack(PublishedItem item) {
+        boolean back = items.live().stream().anyMatch(live -> live.key().equals(item.key()));
+        if (!back) {
+            decoder.changed(item);
+        }
+    }
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/Customer.java
@@ -0,0 +1,11 @@
+package org.dotterelcourse.gateway.routing;
+
+import java.util.OptionalInt;
+
+/**
+ * Who sends requests under a set of keys.
+ *
+ * @param name its name
+ * @param priority urgency of its requests, 0 the highest; empty if the routes' hold
+ */
+public record Customer(String name, OptionalInt priority) {}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
@@ -0,0 +1,61 @@
+package org.dotterelcourse.gateway.workers;
+
+/** One request at one worker, counted there until it ends. Each of the calls counts once however often it comes. */
+public final class Placement {
+    private final WorkerState worker;
+    private final boolean interactive;
+    private final double prefillMillis;
+    private boolean started;
+    private boolean ended;
+
+    Placement(WorkerState worker, boolean interactive, double prefillMillis) {
+        this.worker = worker;
+        this.interactive = interactive;
+        this.prefillMillis = prefillMillis;
+        worker.begin(interactive, prefillMillis);
+    }
+
+    /**
+     * The worker.
+     *
+     * @return what is published of it
+     */
+    public WorkerEntry entry() {
+        return worker.entry();
+    }
+
+    /** The prompt has been read: the first event is here. */
+    public void started() {
+        if (!started) {
+            started = true;
+            worker.prefilled(prefillMillis);
+        }
+    }
+
+    /** The request is no longer there. */
+    public void ended() {
+        if (!ended) {
+            started();
+            ended = true;
+            worker.end(interactive);
+        }
+    }
+
+    /**
+     * The worker has answered.
+     *
+     * @param nowNanos the time
+     */
+    public void succeeded(long nowNanos) {
+        worker.trust().succeeded(nowNanos);
+    }
+
+    /**
+     * The worker has failed in a way that speaks against it.
+     *
+     * @param nowNanos the time
+     */
+    public void failed(long nowNanos) {
+        worker.trust().failed(nowNanos);
+    }
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -0,0 +1,72 @@
+package org.dotterelcourse.gateway.workers;
+
+import org.dotterelcourse.policy.repeat.WorkerTrust;
+import org.dotterelcourse.policy.selection.WorkerLoad;
+
+/** One worker with what this process and its peers have there. Used on the gateway's loop only. */
+public final class WorkerState {
+    private final WorkerTrust trust = new WorkerTrust();
+    private WorkerEntry entry;
+    private int inFlight;
+    private int interactive;
+    private double prefillMillis;
+    private PeerLoads.Load others = PeerLoads.Load.NONE;
+
+    WorkerState(WorkerEntry entry) {
+        this.entry = entry;
+    }
+
+    /**
+     * What is published of it.
+     *
+     * @return the newest entry
+     */
+    public WorkerEntry entry() {
+        return entry;
+    }
+
+    void entry(WorkerEntry changed) {
+        entry = changed;
+    }
+
+    void others(PeerLoads.Load load) {
+        others = load;
+    }
+
+    WorkerTrust trust() {
+        return trust;
+    }
+
+    PeerLoads.Load own() {
+        return new PeerLoads.Load(inFlight, interactive, prefillMillis);
+    }
+
+    void begin(boolean isInteractive, double prefill) {
+        inFlight++;
+        interactive += isInteractive ? 1 : 0;
+        prefillMillis += prefill;
+    }
+
+    void prefilled(double prefill) {
+        prefillMillis = Math.max(0, prefillMillis - prefill);
+    }
+
+    void end(boolean isInteractive) {
+        inFlight--;
+        interactive -= isInteractive ? 1 : 0;
+        if (inFlight == 0) {
+            prefillMillis = 0;
+        }
+    }
+
+    WorkerLoad load(long nowNanos) {
+        return new WorkerLoad(
+                entry.id(),
+                entry.dataCentre(),
+                entry.slots(),
+                inFlight + others.inFlight(),
+                interactive + others.interactive(),
+                prefillMillis + others.prefillMillis(),
+                trust.suspected(nowNanos));
+    }
+}
--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/DaemonProcess.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/DaemonProcess.java
@@ -23,7 +23,7 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private static final Duration CALL_LIMIT = Duration.ofSeconds(5);
     private static final Path JAR =
-            Paths.get("..", "dotterelcourse-daemon", "target", "dotterelcourse-daemon-0.1.0-SNAPSHOT-all.jar");
+            Paths.get("..", "target", "dotterelcourse-daemon", "dotterelcourse-daemon-0.1.0-SNAPSHOT-all.jar");
 
     private final String name;
     private final Process process;
--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -0,0 +1,118 @@
+package org.dotterelcourse.policy.selection;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses an engine by the expected delay of the request there and of those it would hold up, in milliseconds.
+ *
+ * <p>It answers long prompts among interactive streams. An engine reads prompts in chunks between the steps that make
+ * tokens; each chunk of a long prompt makes a step some 50 ms longer, so that every stream beside it pauses for more
+ * than an interactive one may. So the engines are split, by rank of their names, into some for interactive requests and
+ * the rest for the others, in proportion to the work that lately came of either. A split that is full spills over,
+ * at a price. Among the engines of a split, the shared parts that one has read before count against the prompts that
+ * wait there: a prompt follows its parts while the wait is shorter than reading them again.
+ */
+public final class EngineSelector implements WorkerSelector<Prompt> {
+    /** Prompt tokens that an engine reads in a millisecond, from the data sheet of the engines in use (62.4). */
+    static final double PREFILL_TOKENS_PER_MILLI = 62;
+
+    /**
+     * What a stream that runs beside it costs a request: a step grows by 0.165 ms for each, over some 60 steps (data
+     * sheet).
+     */
+    private static final double STREAM_MILLIS = 10;
+
+    /** What it costs to leave the split: a few long steps for each interactive stream that is held up there. */
+    private static final double OTHER_SPLIT_MILLIS = 400;
+
+    /** What a request without a free slot waits at least: the shortest streams take about a second. */
+    private static final double NO_SLOT_MILLIS = 1_000;
+
+    /** Share of the parts' work for which the engine that the name of the last shared part points to is preferred. */
+    private static final double HOME_SHARE = 0.3;
+
+    /** Spread of the random part: peers with the same figures must not all choose the same engine. */
+    private static final double NOISE_MILLIS = 12;
+
+    /** What the way to another data centre and the bytes on it cost. */
+    private static final double FAR_MILLIS = 8;
+
+    private final String dataCentre;
+    private final CachedPrefixes prefixes;
+    private final SplitShare split;
+    private final RandomGenerator random;
+
+    /**
+     * Makes a selector.
+     *
+     * @param dataCentre where this process stands
+     * @param prefixes what engines have read
+     * @param split the share of interactive work
+     * @param random breaks ties
+     */
+    public EngineSelector(String dataCentre, CachedPrefixes prefixes, SplitShare split, RandomGenerator random) {
+        this.dataCentre = dataCentre;
+        this.prefixes = prefixes;
+        this.split = split;
+        this.random = random;
+    }
+
+    @Override
+    public Optional<String> select(Prompt prompt, List<WorkerLoad> workers, long nowNanos) {
+        boolean anySound = workers.stream().anyMatch(each -> !each.suspected());
+        List<WorkerLoad> ranked = new ArrayList<>(workers);
+        ranked.removeIf(each -> anySound && each.suspected());
+        ranked.sort(Comparator.comparingInt((WorkerLoad each) -> Ranks.mix(each.id()))
+                .thenComparing(WorkerLoad::id));
+        int interactive = split.interactiveWorkers(ranked.size());
+        String home = home(prompt, ranked, interactive);
+        String best = null;
+        double least = Double.MAX_VALUE;
+        for (int i = 0; i < ranked.size(); i++) {
+            WorkerLoad worker = ranked.get(i);
+            boolean inSplit = prompt.interactive() == i < interactive || interactive == 0;
+            double cost = cost(prompt, worker, home, nowNanos) + (inSplit ? 0 : OTHER_SPLIT_MILLIS);
+            if (cost < least) {
+                least = cost;
+                best = worker.id();
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private double cost(Prompt prompt, WorkerLoad worker, String home, long nowNanos) {
+        double own = prompt.prefillMillis(prefixes.cachedTokens(prompt, worker.id(), nowNanos));
+        double cost = worker.prefillMillis() + own + STREAM_MILLIS * worker.inFlight();
+        if (worker.id().equals(home)) {
+            cost -= HOME_SHARE * prompt.prefillMillis(0);
+        }
+        if (worker.inFlight() >= worker.slots()) {
+            cost += NO_SLOT_MILLIS * (1 + worker.inFlight() - worker.slots()) / Math.max(1, worker.slots())
+                    + NO_SLOT_MILLIS;
+        }
+        if (!prompt.interactive()) {
+            cost += own * worker.interactiveStreams();
+        }
+        boolean near = worker.dataCentre().equals(dataCentre);
+        return cost + (near ? 0 : FAR_MILLIS) + random.nextDouble() * NOISE_MILLIS;
+    }
+
+    /** Rendezvous hashing of the last shared part, so that processes which know nothing of a part yet agree on one. */
+    private static String home(Prompt prompt, List<WorkerLoad> ranked, int interactive) {
+        int shared = prompt.parts().size() - 2;
+        if (shared < 0 || ranked.isEmpty()) {
+            return "";
+        }
+        String part = prompt.parts().get(shared).id();
+        List<WorkerLoad> inSplit =
+                prompt.interactive() ? ranked.subList(0, interactive) : ranked.subList(interactive, ranked.size());
+        return inSplit.stream()
+                .max(Comparator.comparingInt(each -> Ranks.mix(part + "@" + each.id())))
+                .map(WorkerLoad::id)
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
@@ -0,0 +1,21 @@
+package org.dotterelcourse.policy.selection;
+
+/**
+ * What is known of one worker when a request is placed.
+ *
+ * @param id the worker's name, unique in the fleet
+ * @param dataCentre where it stands
+ * @param slots how many requests it runs at once
+ * @param inFlight requests that this process and its peers have there and that have no whole answer yet
+ * @param interactiveStreams those among them whose pauses between events must be short
+ * @param prefillMillis estimated work of the prompts there that have no first event yet, in milliseconds
+ * @param suspected whether it lately failed requests or connections and should be left out while others are there
+ */
+public record WorkerLoad(
+        String id,
+        String dataCentre,
+        int slots,
+        int inFlight,
+        int interactiveStreams,
+        double prefillMillis,
+        boolean suspected) {}
