--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -15,6 +15,7 @@
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.gateway.workers.Workers;
 import org.dotterelcourse.policy.repeat.RepeatBudget;
+import org.dotterelcourse.policy.selection.SplitShare;
 
 /** What the gateway believes: the routing table in force, the workers, the budgets. Used on the gateway's loop only. */
 public final class GatewayState implements Service {
@@ -23,6 +24,7 @@
 
     private final Workers workers = new Workers();
     private final Map<String, RepeatBudget> budgets = new HashMap<>();
+    private final Map<String, SplitShare> splits = new HashMap<>();
     private final RepeatLimit limit;
     private AuditTrail audit;
     private volatile RoutingTable table;
@@ -152,6 +154,25 @@
         });
     }
 
+    /**
+     * How an upstream's engines are split.
+     *
+     * @param upstream its name
+     * @return its split
+     */
+    public SplitShare split(String upstream) {
+        return splits.computeIfAbsent(upstream, name -> new SplitShare());
+    }
+
+    /**
+     * The splits of all upstreams that had requests.
+     *
+     * @return by the upstream's name
+     */
+    public Map<String, SplitShare> splits() {
+        return splits;
+    }
+
     /**
      * The size of the fleet is known.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -20,6 +20,7 @@
 import org.dotterelcourse.gateway.published.Publications;
 import org.dotterelcourse.gateway.published.PublishedItem;
 import org.dotterelcourse.gateway.workers.PeerLoads;
+import org.dotterelcourse.policy.selection.SplitShare;
 import org.jboss.logging.Logger;
 
 /**
@@ -132,6 +133,11 @@
                 .setInFlight(load.inFlight())
                 .setInteractive(load.interactive())
                 .setPrefillMillis((int) Math.round(load.prefillMillis()))));
+        state.splits()
+                .forEach((upstream, split) -> report.addUpstreams(FleetProtos.UpstreamWork.newBuilder()
+                        .setUpstream(upstream)
+                        .setInteractiveMillis(Math.round(split.own().interactiveMillis()))
+                        .setAllMillis(Math.round(split.own().allMillis()))));
         return report.build().toByteArray();
     }
 
@@ -150,6 +156,10 @@
                     new PeerLoads.Load(each.getInFlight(), each.getInteractive(), each.getPrefillMillis()));
         }
         state.workers().peerLoad(peer, loads, loop.nowNanos());
+        for (FleetProtos.UpstreamWork work : report.getUpstreamsList()) {
+            state.split(work.getUpstream())
+                    .peer(peer, new SplitShare.Work(work.getInteractiveMillis(), work.getAllMillis()), loop.nowNanos());
+        }
         if (report.getRevision() > publications.revision() && !asking) {
             asking = true;
             loop.after(BEHIND_MILLIS, () -> askIfBehind(peer, report.getRevision()));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
@@ -1,8 +1,6 @@
 package org.dotterelcourse.gateway.forward;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -23,7 +21,6 @@
     private final RandomGenerator random;
     private final LeastLoadedSelector leastLoaded;
     private final CachedPrefixes prefixes = new CachedPrefixes();
-    private final Map<String, SplitShare> splits = new HashMap<>();
 
     Selection(String dataCentre, GatewayState state, RandomGenerator random) {
         this.dataCentre = dataCentre;
@@ -62,6 +59,6 @@
     }
 
     private SplitShare split(Call call) {
-        return splits.computeIfAbsent(call.terms().upstream(), name -> new SplitShare());
+        return state.split(call.terms().upstream());
     }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -12,9 +12,13 @@
  * <p>It answers long prompts among interactive streams. An engine reads prompts in chunks between the steps that make
  * tokens; each chunk of a long prompt makes a step some 50 ms longer, so that every stream beside it pauses for more
  * than an interactive one may. So the engines are split, by rank of their names, into some for interactive requests and
- * the rest for the others, in proportion to the work that lately came of either. A split that is full spills over,
- * at a price. Among the engines of a split, the shared parts that one has read before count against the prompts that
- * wait there: a prompt follows its parts while the wait is shorter than reading them again.
+ * the rest for the others, in proportion to the work that lately came of either. A split that is full spills over, at a
+ * price.
+ *
+ * <p>It also answers prompts with shared parts. Each such part has a home, an engine of its split that all processes
+ * agree on by rendezvous hashing, and its prompts go there unless others wait there for much longer than the part takes
+ * to be read: half of the prefill work of the workloads in use is shared parts, and without homes eight processes
+ * read each part at eight engines.
  */
 public final class EngineSelector implements WorkerSelector<Prompt> {
     /** Prompt tokens that an engine reads in a millisecond, from the data sheet of the engines in use (62.4). */
@@ -32,8 +36,11 @@
     /** What a request without a free slot waits at least: the shortest streams take about a second. */
     private static final double NO_SLOT_MILLIS = 1_000;
 
-    /** Share of the parts' work for which the engine that the name of the last shared part points to is preferred. */
-    private static final double HOME_SHARE = 0.3;
+    /**
+     * Weight of reading a shared part again, beside the time that it takes: it delays every stream of that engine by as
+     * much, some four of which are in a step at the time.
+     */
+    private static final double READ_AGAIN = 4;
 
     /** Spread of the random part: peers with the same figures must not all choose the same engine. */
     private static final double NOISE_MILLIS = 12;
@@ -85,11 +92,11 @@
     }
 
     private double cost(Prompt prompt, WorkerLoad worker, String home, long nowNanos) {
-        double own = prompt.prefillMillis(prefixes.cachedTokens(prompt, worker.id(), nowNanos));
-        double cost = worker.prefillMillis() + own + STREAM_MILLIS * worker.inFlight();
-        if (worker.id().equals(home)) {
-            cost -= HOME_SHARE * prompt.prefillMillis(0);
-        }
+        int shared = prompt.sharedTokens();
+        int cached = worker.id().equals(home) ? shared : prefixes.cachedTokens(prompt, worker.id(), nowNanos);
+        double own = prompt.prefillMillis(cached);
+        double readAgain = READ_AGAIN * Math.max(0, shared - cached) / PREFILL_TOKENS_PER_MILLI;
+        double cost = worker.prefillMillis() + own + readAgain + STREAM_MILLIS * worker.inFlight();
         if (worker.inFlight() >= worker.slots()) {
             cost += NO_SLOT_MILLIS * (1 + worker.inFlight() - worker.slots()) / Math.max(1, worker.slots())
                     + NO_SLOT_MILLIS;
@@ -101,17 +108,16 @@
         return cost + (near ? 0 : FAR_MILLIS) + random.nextDouble() * NOISE_MILLIS;
     }
 
-    /** Rendezvous hashing of the last shared part, so that processes which know nothing of a part yet agree on one. */
+    /** Rendezvous hashing of the last shared part over the engines of the prompt's split. */
     private static String home(Prompt prompt, List<WorkerLoad> ranked, int interactive) {
-        int shared = prompt.parts().size() - 2;
-        if (shared < 0 || ranked.isEmpty()) {
+        Optional<Prompt.Part> part = prompt.lastShared();
+        if (part.isEmpty()) {
             return "";
         }
-        String part = prompt.parts().get(shared).id();
         List<WorkerLoad> inSplit =
                 prompt.interactive() ? ranked.subList(0, interactive) : ranked.subList(interactive, ranked.size());
         return inSplit.stream()
-                .max(Comparator.comparingInt(each -> Ranks.mix(part + "@" + each.id())))
+                .max(Comparator.comparingInt(each -> Ranks.mix(part.get().id() + "@" + each.id())))
                 .map(WorkerLoad::id)
                 .orElse("");
     }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/Prompt.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/Prompt.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.policy.selection;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The prompt of a request to an engine.
@@ -28,4 +29,24 @@
     public double prefillMillis(int cachedTokens) {
         return Math.max(1, promptTokens - cachedTokens) / EngineSelector.PREFILL_TOKENS_PER_MILLI;
     }
+
+    /**
+     * The last part that other prompts may share.
+     *
+     * @return empty if the prompt has only its own
+     */
+    public Optional<Part> lastShared() {
+        return parts.size() < 2 ? Optional.empty() : Optional.of(parts.get(parts.size() - 2));
+    }
+
+    /**
+     * Tokens of the parts that other prompts may share.
+     *
+     * @return their sum
+     */
+    public int sharedTokens() {
+        return parts.subList(0, Math.max(0, parts.size() - 1)).stream()
+                .mapToInt(Part::tokens)
+                .sum();
+    }
 }
