--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -15,7 +15,7 @@
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.gateway.workers.Workers;
 import org.dotterelcourse.policy.repeat.RepeatBudget;
-import org.dotterelcourse.policy.selection.SplitShare;
+import org.dotterelcourse.policy.selection.EngineSplit;
 
 /** What the gateway believes: the routing table in force, the workers, the budgets. Used on the gateway's loop only. */
 public final class GatewayState implements Service {
@@ -24,7 +24,7 @@
 
     private final Workers workers = new Workers();
     private final Map<String, RepeatBudget> budgets = new HashMap<>();
-    private final Map<String, SplitShare> splits = new HashMap<>();
+    private final Map<String, EngineSplit> splits = new HashMap<>();
     private final RepeatLimit limit;
     private AuditTrail audit;
     private volatile RoutingTable table;
@@ -160,8 +160,8 @@
      * @param upstream its name
      * @return its split
      */
-    public SplitShare split(String upstream) {
-        return splits.computeIfAbsent(upstream, name -> new SplitShare());
+    public EngineSplit split(String upstream) {
+        return splits.computeIfAbsent(upstream, name -> new EngineSplit());
     }
 
     /**
@@ -169,7 +169,7 @@
      *
      * @return by the upstream's name
      */
-    public Map<String, SplitShare> splits() {
+    public Map<String, EngineSplit> splits() {
         return splits;
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
@@ -17,6 +17,7 @@
 import org.dotterelcourse.gateway.routing.Route;
 import org.dotterelcourse.gateway.routing.RoutingTable;
 import org.dotterelcourse.gateway.routing.UpstreamSpec;
+import org.dotterelcourse.policy.selection.Pace;
 import org.dotterelcourse.policy.selection.Prompt;
 
 /** Decides by the routing table whether a request is let in, and as what. */
@@ -95,7 +96,8 @@
             long arrivalNanos) {
         UpstreamSpec upstream = table.upstream(route.upstreamFor(id));
         Optional<Prompt> prompt = upstream.engine()
-                ? dialect.prompt(headers, route.gapTargetMillis(), upstream.tokensPerEvent())
+                ? dialect.prompt(
+                        headers, Pace.of(route.gapTargetMillis(), route.targetMillis(), upstream.tokensPerEvent()))
                 : Optional.empty();
         long waits = dialect.waitMillis(headers).orElse(route.timeoutMillis());
         long bound = Math.min(waits, route.timeoutMillis());
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestLog.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestLog.java
@@ -49,6 +49,11 @@
             MDC.put("customer", call.terms().customer());
             MDC.put("worker", call.lastWorker());
             MDC.put("sends", Integer.toString(call.sends()));
+            if (call.terms().route().streaming()) {
+                MDC.put("firstEventMillis", Long.toString(call.firstEventMillis()));
+                MDC.put("longestPauseMillis", Long.toString(call.longestPauseMillis()));
+                call.terms().prompt().ifPresent(prompt -> MDC.put("prompt", Integer.toString(prompt.promptTokens())));
+            }
         }
         LOG.info("request ended");
         MDC.clear();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.fleet;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +21,7 @@
 import org.dotterelcourse.gateway.published.Publications;
 import org.dotterelcourse.gateway.published.PublishedItem;
 import org.dotterelcourse.gateway.workers.PeerLoads;
-import org.dotterelcourse.policy.selection.SplitShare;
+import org.dotterelcourse.policy.selection.PaceWork;
 import org.jboss.logging.Logger;
 
 /**
@@ -136,8 +137,9 @@
         state.splits()
                 .forEach((upstream, split) -> report.addUpstreams(FleetProtos.UpstreamWork.newBuilder()
                         .setUpstream(upstream)
-                        .setInteractiveMillis(Math.round(split.own().interactiveMillis()))
-                        .setAllMillis(Math.round(split.own().allMillis()))));
+                        .addAllMillisByPace(Arrays.stream(split.own().millis())
+                                .mapToObj(Math::round)
+                                .toList())));
         return report.build().toByteArray();
     }
 
@@ -157,8 +159,12 @@
         }
         state.workers().peerLoad(peer, loads, loop.nowNanos());
         for (FleetProtos.UpstreamWork work : report.getUpstreamsList()) {
-            state.split(work.getUpstream())
-                    .peer(peer, new SplitShare.Work(work.getInteractiveMillis(), work.getAllMillis()), loop.nowNanos());
+            double[] millis = work.getMillisByPaceList().stream()
+                    .mapToDouble(Long::doubleValue)
+                    .toArray();
+            if (millis.length == PaceWork.none().millis().length) {
+                state.split(work.getUpstream()).peer(peer, new PaceWork(millis), loop.nowNanos());
+            }
         }
         if (report.getRevision() > publications.revision() && !asking) {
             asking = true;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -22,6 +22,9 @@
     private int sends;
     private int connectFailures;
     private String lastEventId = "";
+    private long lastEventNanos;
+    private long firstEventMillis;
+    private long longestPauseMillis;
     private String lastWorker = "";
 
     /**
@@ -130,8 +133,33 @@
         return lastEventId;
     }
 
-    void lastEventId(String id) {
+    /** An event is passed on. */
+    void event(String id, long nowNanos) {
         lastEventId = id;
+        if (lastEventNanos == 0) {
+            firstEventMillis = (nowNanos - terms.arrivalNanos()) / NANOS_PER_MILLI;
+        } else {
+            longestPauseMillis = Math.max(longestPauseMillis, (nowNanos - lastEventNanos) / NANOS_PER_MILLI);
+        }
+        lastEventNanos = nowNanos;
+    }
+
+    /**
+     * Time from the request's arrival to its first event.
+     *
+     * @return milliseconds, 0 if there was none
+     */
+    public long firstEventMillis() {
+        return firstEventMillis;
+    }
+
+    /**
+     * The longest time between two events.
+     *
+     * @return milliseconds, 0 before the second event
+     */
+    public long longestPauseMillis() {
+        return longestPauseMillis;
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Dialect.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Dialect.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.dotterelcourse.policy.selection.Pace;
 import org.dotterelcourse.policy.selection.Prompt;
 
 /** How clients and workers spell what the router needs to know and to tell. */
@@ -36,11 +37,10 @@
      * Reads what a request asks of an engine.
      *
      * @param headers the request's
-     * @param gapTargetMillis the longest pause between events for which its answer is on time
-     * @param tokensPerEvent how many tokens an engine puts into one event
+     * @param pace what the route's streams must not be held up by
      * @return the prompt; empty if the request tells of none
      */
-    Optional<Prompt> prompt(HttpHeaders headers, long gapTargetMillis, int tokensPerEvent);
+    Optional<Prompt> prompt(HttpHeaders headers, Pace pace);
 
     /**
      * Whether only the router may set a header, so that a client's own is dropped.
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -25,8 +25,8 @@
     /** The name that it is found by. */
     public static final ServiceName<Forwarder> NAME = new ServiceName<>("forwarder", Forwarder.class);
 
-    /** Workers that can't be reached cost a connect timeout each; after three of them the client had better come back. */
-    private static final int MOST_CONNECT_FAILURES = 3;
+    /** Workers that can't be reached cost a connect timeout each; after some of them the client had better come back. */
+    private static final int MOST_CONNECT_FAILURES = 4;
 
     /** About the work of a few plain calls: by then a slot has become free. */
     private static final long RETRY_AFTER_FULL_MILLIS = 250;
@@ -167,7 +167,11 @@
         if (result instanceof AttemptResult.Answered answered) {
             return answered(call, placement, answered.answer(), now);
         }
-        placement.failed(now);
+        if (result instanceof AttemptResult.NotRun notRun && !notRun.reached()) {
+            placement.notReached(now);
+        } else {
+            placement.failed(now);
+        }
         if (result instanceof AttemptResult.NotRun notRun) {
             boolean again = notRun.reached() ? mayRepeat(call, now) : call.connectFailures() < MOST_CONNECT_FAILURES;
             return again
@@ -207,7 +211,7 @@
                 .concatMapIterable(framer::take)
                 .doOnNext(event -> {
                     placement.started();
-                    call.lastEventId(event.id());
+                    call.event(event.id(), loop.nowNanos());
                 })
                 .map(EventFramer.Event::bytes)
                 .concatWith(Mono.defer(() -> framer.betweenEvents()
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
@@ -9,9 +9,10 @@
 import org.dotterelcourse.gateway.workers.WorkerState;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.EngineSelector;
+import org.dotterelcourse.policy.selection.EngineSplit;
 import org.dotterelcourse.policy.selection.LeastLoadedSelector;
+import org.dotterelcourse.policy.selection.Pace;
 import org.dotterelcourse.policy.selection.Prompt;
-import org.dotterelcourse.policy.selection.SplitShare;
 import org.dotterelcourse.policy.selection.WorkerLoad;
 
 /** Finds a worker for a call by the selectors of the policy, and keeps what they need to know. */
@@ -31,7 +32,7 @@
 
     /** Counts the call's work into its upstream's split. */
     void arrived(Call call, long nowNanos) {
-        call.terms().prompt().ifPresent(prompt -> split(call).arrived(prompt, 0, nowNanos));
+        call.terms().prompt().ifPresent(prompt -> split(call).arrived(prompt, nowNanos));
     }
 
     /** Chooses a worker and counts the call there. */
@@ -55,10 +56,10 @@
         }
         double prefill = prompt.get().prefillMillis(prefixes.cachedTokens(prompt.get(), id, nowNanos));
         prefixes.sent(prompt.get(), id, nowNanos);
-        return state.workers().place(worker, prompt.get().interactive(), prefill);
+        return state.workers().place(worker, prompt.get().pace() == Pace.SHORT_PAUSES, prefill);
     }
 
-    private SplitShare split(Call call) {
+    private EngineSplit split(Call call) {
         return state.split(call.terms().upstream());
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
@@ -50,6 +50,15 @@
         worker.trust().succeeded(nowNanos);
     }
 
+    /**
+     * The worker could not be reached.
+     *
+     * @param nowNanos the time
+     */
+    public void notReached(long nowNanos) {
+        worker.trust().notReached(nowNanos);
+    }
+
     /**
      * The worker has failed in a way that speaks against it.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
@@ -12,4 +12,13 @@
  * @param leaving whether it takes no new work
  */
 public record WorkerEntry(
-        String id, String upstream, String host, int port, String dataCentre, int slots, boolean leaving) {}
+        String id, String upstream, String host, int port, String dataCentre, int slots, boolean leaving) {
+    /**
+     * Where it listens.
+     *
+     * @return IP number and port
+     */
+    public String address() {
+        return host + ":" + port;
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -62,6 +62,7 @@
     WorkerLoad load(long nowNanos) {
         return new WorkerLoad(
                 entry.id(),
+                entry.address(),
                 entry.dataCentre(),
                 entry.slots(),
                 inFlight + others.inFlight(),
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,6 +16,9 @@
     private final Map<String, WorkerState> byId = new HashMap<>();
     private final PeerLoads peerLoads = new PeerLoads();
 
+    /** Workers whose address another one has taken; their entries may still be told of. */
+    private final Set<String> replaced = new HashSet<>();
+
     /**
      * A worker is published, or what is published of it has changed.
      *
@@ -22,13 +26,22 @@
      */
     public void published(WorkerEntry entry) {
         WorkerState known = byId.get(entry.id());
-        if (known == null) {
-            byId.put(entry.id(), new WorkerState(entry));
-        } else {
+        if (known != null) {
             known.entry(entry);
+        } else if (!replaced.contains(entry.id())) {
+            byId.values().removeIf(each -> isReplacedBy(each.entry(), entry));
+            byId.put(entry.id(), new WorkerState(entry));
         }
     }
 
+    /**
+     * A worker that crashed stays published until its entry runs out, while the one that took its address is there
+     * already: every request meant for the old one would be refused by the new one.
+     */
+    private boolean isReplacedBy(WorkerEntry old, WorkerEntry entry) {
+        return old.address().equals(entry.address()) && replaced.add(old.id());
+    }
+
     /**
      * A worker is no longer published. What is in flight there goes on.
      *
@@ -36,6 +49,7 @@
      * @return what was known of it
      */
     public Optional<WorkerEntry> gone(String id) {
+        replaced.remove(id);
         return Optional.ofNullable(byId.remove(id)).map(WorkerState::entry);
     }
 
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/WorkerTrust.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/WorkerTrust.java
@@ -52,14 +52,29 @@
         failuresInRow++;
         failingShare = failingShare * (1 - NEWEST) + NEWEST;
         if (failuresInRow >= FAILURES_IN_ROW || failingShare > FAILING_SHARE) {
-            if (!suspected(nowNanos)) {
-                suspectedUntilNanos = nowNanos + pauseNanos;
-                pauseNanos = Math.min(LONGEST_PAUSE_NANOS, 2 * pauseNanos);
-            }
-            suspected = true;
+            suspect(nowNanos);
         }
     }
 
+    /**
+     * No connection to the worker could be made: nothing listens there, or nobody answers. Once is enough, since every
+     * further request would find the same.
+     *
+     * @param nowNanos the time
+     */
+    public void notReached(long nowNanos) {
+        failuresInRow++;
+        suspect(nowNanos);
+    }
+
+    private void suspect(long nowNanos) {
+        if (!suspected(nowNanos)) {
+            suspectedUntilNanos = nowNanos + pauseNanos;
+            pauseNanos = Math.min(LONGEST_PAUSE_NANOS, 2 * pauseNanos);
+        }
+        suspected = true;
+    }
+
     /**
      * Whether it should be left out.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -11,9 +12,8 @@
  *
  * <p>It answers long prompts among interactive streams. An engine reads prompts in chunks between the steps that make
  * tokens; each chunk of a long prompt makes a step some 50 ms longer, so that every stream beside it pauses for more
- * than an interactive one may. So the engines are split, by rank of their names, into some for interactive requests and
- * the rest for the others, in proportion to the work that lately came of either. A split that is full spills over, at a
- * price.
+ * than an interactive one may, and a whole one delays the first event of those behind it by up to 1.6 s. So the engines
+ * are split, by rank of their addresses, between the paces of streams. A split that is full spills over, at a price.
  *
  * <p>It also answers prompts with shared parts. Each such part has a home, an engine of its split that all processes
  * agree on by rendezvous hashing, and its prompts go there unless others wait there for much longer than the part takes
@@ -30,17 +30,23 @@
      */
     private static final double STREAM_MILLIS = 10;
 
-    /** What it costs to leave the split: a few long steps for each interactive stream that is held up there. */
-    private static final double OTHER_SPLIT_MILLIS = 400;
+    /**
+     * What it costs to leave the split, by pace: somewhat over half of the usual latency targets (0.5, 0.8 and 2.5 s), so
+     * that a request goes elsewhere only where it would else be late.
+     */
+    private static final Map<Pace, Double> OTHER_SPLIT_MILLIS =
+            Map.of(Pace.SHORT_PAUSES, 300.0, Pace.SOON, 480.0, Pace.PATIENT, 1_500.0);
 
     /** What a request without a free slot waits at least: the shortest streams take about a second. */
     private static final double NO_SLOT_MILLIS = 1_000;
 
     /**
-     * Weight of reading a shared part again, beside the time that it takes: it delays every stream of that engine by as
-     * much, some four of which are in a step at the time.
+     * Weight of reading shared parts again, beside the time that it takes, by pace: it delays every stream of that engine
+     * by as much. The usual parts (0.35, 6.3 and 13.3 thousand tokens) thereby outweigh a wait of two fifths of the usual
+     * latency targets (0.5, 0.8 and 2.5 s), so that a request does not become late for the sake of its engine.
      */
-    private static final double READ_AGAIN = 4;
+    private static final Map<Pace, Double> READ_AGAIN =
+            Map.of(Pace.SHORT_PAUSES, 4.0, Pace.SOON, 2.0, Pace.PATIENT, 4.0);
 
     /** Spread of the random part: peers with the same figures must not all choose the same engine. */
     private static final double NOISE_MILLIS = 12;
@@ -50,7 +56,7 @@
 
     private final String dataCentre;
     private final CachedPrefixes prefixes;
-    private final SplitShare split;
+    private final EngineSplit split;
     private final RandomGenerator random;
 
     /**
@@ -58,10 +64,10 @@
      *
      * @param dataCentre where this process stands
      * @param prefixes what engines have read
-     * @param split the share of interactive work
+     * @param split the engines of each pace
      * @param random breaks ties
      */
-    public EngineSelector(String dataCentre, CachedPrefixes prefixes, SplitShare split, RandomGenerator random) {
+    public EngineSelector(String dataCentre, CachedPrefixes prefixes, EngineSplit split, RandomGenerator random) {
         this.dataCentre = dataCentre;
         this.prefixes = prefixes;
         this.split = split;
@@ -72,17 +78,21 @@
     public Optional<String> select(Prompt prompt, List<WorkerLoad> workers, long nowNanos) {
         boolean anySound = workers.stream().anyMatch(each -> !each.suspected());
         List<WorkerLoad> ranked = new ArrayList<>(workers);
-        ranked.removeIf(each -> anySound && each.suspected());
-        ranked.sort(Comparator.comparingInt((WorkerLoad each) -> Ranks.mix(each.id()))
+        ranked.sort(Comparator.comparingInt((WorkerLoad each) -> Ranks.mix(each.address()))
                 .thenComparing(WorkerLoad::id));
-        int interactive = split.interactiveWorkers(ranked.size());
-        String home = home(prompt, ranked, interactive);
+        EngineSplit.Range range = split.range(prompt.pace(), ranked.size());
+        // Processes suspect different engines at different times; ranks and splits must not follow that, or their homes
+        // would differ for every part.
+        String home = home(prompt, ranked.subList(range.from(), range.to()), anySound);
         String best = null;
         double least = Double.MAX_VALUE;
         for (int i = 0; i < ranked.size(); i++) {
             WorkerLoad worker = ranked.get(i);
-            boolean inSplit = prompt.interactive() == i < interactive || interactive == 0;
-            double cost = cost(prompt, worker, home, nowNanos) + (inSplit ? 0 : OTHER_SPLIT_MILLIS);
+            if (anySound && worker.suspected()) {
+                continue;
+            }
+            double outside = range.holds(i) ? 0 : OTHER_SPLIT_MILLIS.get(prompt.pace());
+            double cost = cost(prompt, worker, home, nowNanos) + outside;
             if (cost < least) {
                 least = cost;
                 best = worker.id();
@@ -95,13 +105,13 @@
         int shared = prompt.sharedTokens();
         int cached = worker.id().equals(home) ? shared : prefixes.cachedTokens(prompt, worker.id(), nowNanos);
         double own = prompt.prefillMillis(cached);
-        double readAgain = READ_AGAIN * Math.max(0, shared - cached) / PREFILL_TOKENS_PER_MILLI;
+        double readAgain = READ_AGAIN.get(prompt.pace()) * Math.max(0, shared - cached) / PREFILL_TOKENS_PER_MILLI;
         double cost = worker.prefillMillis() + own + readAgain + STREAM_MILLIS * worker.inFlight();
         if (worker.inFlight() >= worker.slots()) {
             cost += NO_SLOT_MILLIS * (1 + worker.inFlight() - worker.slots()) / Math.max(1, worker.slots())
                     + NO_SLOT_MILLIS;
         }
-        if (!prompt.interactive()) {
+        if (prompt.pace() != Pace.SHORT_PAUSES) {
             cost += own * worker.interactiveStreams();
         }
         boolean near = worker.dataCentre().equals(dataCentre);
@@ -109,15 +119,14 @@
     }
 
     /** Rendezvous hashing of the last shared part over the engines of the prompt's split. */
-    private static String home(Prompt prompt, List<WorkerLoad> ranked, int interactive) {
+    private static String home(Prompt prompt, List<WorkerLoad> inSplit, boolean anySound) {
         Optional<Prompt.Part> part = prompt.lastShared();
         if (part.isEmpty()) {
             return "";
         }
-        List<WorkerLoad> inSplit =
-                prompt.interactive() ? ranked.subList(0, interactive) : ranked.subList(interactive, ranked.size());
         return inSplit.stream()
-                .max(Comparator.comparingInt(each -> Ranks.mix(part.get().id() + "@" + each.id())))
+                .filter(each -> !anySound || !each.suspected())
+                .max(Comparator.comparingInt(each -> Ranks.mix(part.get().id() + "@" + each.address())))
                 .map(WorkerLoad::id)
                 .orElse("");
     }
--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSplit.java
@@ -0,0 +1,155 @@
+package org.dotterelcourse.policy.selection;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How many of an upstream's engines are for the streams of each pace, in proportion to the work that lately came to all
+ * processes.
+ *
+ * <p>It answers a mix that changes through the day. With fixed splits, one of them is idle while the other queues; with
+ * none, each long prompt delays interactive streams.
+ */
+public final class EngineSplit {
+    /** Long enough for some dozens of requests a process, short enough to follow the hours of a day. */
+    private static final double HALF_LIFE_NANOS = 10e9;
+
+    /**
+     * Work of one token of an answer beside that of the prompt, in milliseconds. A step of about 10 ms makes a token
+     * for each of some 16 to 20 streams (data sheet).
+     */
+    private static final double OUTPUT_TOKEN_MILLIS = 0.6;
+
+    /**
+     * Engines for a pace beside its work. First events that are due within a second need engines that are idle for half
+     * of the time; with equal weights nine tenths of them came within 1.3 s and a fifth was late (load of 12 a second at
+     * three engines).
+     */
+    private static final Map<Pace, Double> WEIGHT = Map.of(Pace.SHORT_PAUSES, 1.0, Pace.SOON, 1.6, Pace.PATIENT, 1.0);
+
+    /** Assumed before anything came, and soon outweighed: milliseconds by pace. */
+    private static final double[] FIRST_WORK = {220, 280, 500};
+
+    /** How far the work must ask for another number until it changes: with each change, parts get other homes. */
+    private static final double STEP = 1.2;
+
+    /** Work below this share of all gets no engine of its own. */
+    private static final double LEAST_SHARE = 0.02;
+
+    /** How long a silent peer's work still counts. */
+    private static final long KEPT_NANOS = 10_000_000_000L;
+
+    private final Map<String, Told> peers = new HashMap<>();
+    private PaceWork own = new PaceWork(FIRST_WORK.clone());
+    private long lastNanos;
+    private int[] counts = new int[0];
+    private int lastWorkers;
+
+    private record Told(PaceWork work, long atNanos) {}
+
+    /**
+     * What lately came to this process, for its peers.
+     *
+     * @return the work as of the last request
+     */
+    public PaceWork own() {
+        return own;
+    }
+
+    /**
+     * A peer has said what lately came to it. Processes that split by the same sums mostly agree on the split.
+     *
+     * @param peer its name
+     * @param work its work
+     * @param nowNanos the time
+     */
+    public void peer(String peer, PaceWork work, long nowNanos) {
+        peers.put(peer, new Told(work, nowNanos));
+    }
+
+    /**
+     * A request has come.
+     *
+     * @param prompt its prompt
+     * @param nowNanos the time
+     */
+    public void arrived(Prompt prompt, long nowNanos) {
+        double fade = Math.pow(0.5, Math.max(0, nowNanos - lastNanos) / HALF_LIFE_NANOS);
+        lastNanos = nowNanos;
+        double work = prompt.prefillMillis(0) + OUTPUT_TOKEN_MILLIS * prompt.outputTokens();
+        own = own.faded(fade).with(prompt.pace(), WEIGHT.get(prompt.pace()) * work);
+    }
+
+    /**
+     * The ranks of the engines that are for one pace. A pace without engines of its own may use all.
+     *
+     * @param pace the pace
+     * @param workers how many engines there are
+     * @return first rank and the one after the last
+     */
+    public Range range(Pace pace, int workers) {
+        int paces = Pace.values().length;
+        if (workers < paces) {
+            boolean alone = workers == 2;
+            boolean first = pace == Pace.SHORT_PAUSES;
+            return alone ? new Range(first ? 0 : 1, first ? 1 : 2) : new Range(0, workers);
+        }
+        split(workers);
+        int from = 0;
+        for (int i = 0; i < pace.ordinal(); i++) {
+            from += counts[i];
+        }
+        int count = counts[pace.ordinal()];
+        return count == 0 ? new Range(0, workers) : new Range(from, from + count);
+    }
+
+    /**
+     * Ranks of engines.
+     *
+     * @param from the first
+     * @param to the one after the last
+     */
+    public record Range(int from, int to) {
+        boolean holds(int rank) {
+            return rank >= from && rank < to;
+        }
+    }
+
+    private void split(int workers) {
+        double[] wanted = wanted(workers);
+        boolean far = workers != lastWorkers;
+        for (int i = 0; !far && i < wanted.length; i++) {
+            far = Math.abs(wanted[i] - counts[i]) > STEP;
+        }
+        if (far) {
+            counts = rounded(wanted, workers);
+            lastWorkers = workers;
+        }
+    }
+
+    private double[] wanted(int workers) {
+        peers.values().removeIf(told -> lastNanos - told.atNanos() > KEPT_NANOS);
+        PaceWork sum = own;
+        for (Told told : peers.values()) {
+            sum = sum.plus(told.work());
+        }
+        double total = sum.total();
+        return Arrays.stream(sum.millis())
+                .map(each -> each < LEAST_SHARE * total ? 0 : workers * each / total)
+                .toArray();
+    }
+
+    /** Rounds so that each pace with work has one engine at least and the sum is right; the largest gives and takes. */
+    private static int[] rounded(double[] wanted, int workers) {
+        int[] rounded = Arrays.stream(wanted)
+                .mapToInt(each -> each == 0 ? 0 : (int) Math.max(1, Math.round(each)))
+                .toArray();
+        int largest = 0;
+        for (int i = 1; i < rounded.length; i++) {
+            largest = rounded[i] > rounded[largest] ? i : largest;
+        }
+        rounded[largest] += workers - Arrays.stream(rounded).sum();
+        return rounded;
+    }
+}
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
@@ -4,6 +4,7 @@
  * What is known of one worker when a request is placed.
  *
  * @param id the worker's name, unique in the fleet
+ * @param address its IP number and port, which it mostly keeps when it starts again under another name
  * @param dataCentre where it stands
  * @param slots how many requests it runs at once
  * @param inFlight requests that this process and its peers have there and that have no whole answer yet
@@ -13,6 +14,7 @@
  */
 public record WorkerLoad(
         String id,
+        String address,
         String dataCentre,
         int slots,
         int inFlight,
