--- /dev/null
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/PublishedItemsTest.java
@@ -0,0 +1,66 @@
+package org.dotterelcourse.gateway.published;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PublishedItemsTest {
+    private final PublishedItems items = new PublishedItems();
+
+    // A machine that the store turns away hears of a revocation from a peer, and later gets an old read of its own. The
+    // revoked key must not come back.
+    @Test
+    void anOldReadDoesNotBringBackWhatWasChanged() {
+        items.merge(List.of(item("op", 5)), 5);
+        assertThat(items.merge(List.of(item("op", 4)), 4)).isEmpty();
+        assertThat(items.replace(List.of(item("op", 3)), 3)).isEmpty();
+        assertThat(items.revision()).isEqualTo(5);
+        assertThat(items.live()).containsExactly(item("op", 5));
+    }
+
+    @Test
+    void whatAWholeStateLacksWasDeleted() {
+        items.merge(List.of(item("a", 1), item("b", 2)), 2);
+        List<PublishedItem> news = items.replace(List.of(item("b", 2)), 9);
+        assertThat(news).hasSize(1);
+        assertThat(news.get(0).key()).isEqualTo("a");
+        assertThat(news.get(0).deleted()).isTrue();
+        assertThat(items.live()).containsExactly(item("b", 2));
+    }
+
+    @Test
+    void aDeletedItemThatIsPublishedAnewIsThereAgain() {
+        items.merge(List.of(item("a", 1)), 1);
+        items.merge(List.of(new PublishedItem("a", new byte[0], 2, true)), 2);
+        assertThat(items.live()).isEmpty();
+        assertThat(items.merge(List.of(item("a", 3)), 3)).hasSize(1);
+        assertThat(items.live()).containsExactly(item("a", 3));
+    }
+
+    @Property(tries = 300)
+    void noItemEverGoesBack(@ForAll @Size(max = 60) List<@IntRange(min = 1, max = 400) Integer> changes) {
+        PublishedItems merged = new PublishedItems();
+        Map<String, Long> highest = new HashMap<>();
+        for (int change : changes) {
+            String key = "k" + change % 4;
+            PublishedItem item = new PublishedItem(key, new byte[] {1}, change, change % 3 == 0);
+            merged.merge(List.of(item), change);
+            highest.merge(key, (long) change, Math::max);
+            for (PublishedItem live : merged.live()) {
+                assertThat(live.revision()).isEqualTo(highest.get(live.key()));
+            }
+        }
+    }
+
+    private static PublishedItem item(String key, long revision) {
+        return new PublishedItem(key, new byte[] {(byte) revision}, revision, false);
+    }
+}
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSplit.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSplit.java
@@ -42,6 +42,7 @@
 
     private final Map<String, Told> peers = new HashMap<>();
     private PaceWork own = new PaceWork(FIRST_WORK.clone());
+    private boolean begun;
     private long lastNanos;
     private int[] counts = new int[0];
     private int lastWorkers;
@@ -75,7 +76,8 @@
      * @param nowNanos the time
      */
     public void arrived(Prompt prompt, long nowNanos) {
-        double fade = Math.pow(0.5, Math.max(0, nowNanos - lastNanos) / HALF_LIFE_NANOS);
+        double fade = begun ? Math.pow(0.5, Math.max(0, nowNanos - lastNanos) / HALF_LIFE_NANOS) : 1;
+        begun = true;
         lastNanos = nowNanos;
         double work = prompt.prefillMillis(0) + OUTPUT_TOKEN_MILLIS * prompt.outputTokens();
         own = own.faded(fade).with(prompt.pace(), WEIGHT.get(prompt.pace()) * work);
--- /dev/null
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/repeat/RepeatBudgetTest.java
@@ -0,0 +1,60 @@
+package org.dotterelcourse.policy.repeat;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RepeatBudgetTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final double RATIO = 0.2;
+    private static final int EXTRA = 20;
+
+    // An upstream fails everything for a while, and every process wants to repeat every request. In no window may the
+    // fleet send more repeats than its budget, whatever each process knows of the others.
+    @Property(tries = 200)
+    void aFleetStaysWithinItsBudgetInEveryWindow(
+            @ForAll @IntRange(min = 1, max = 8) int processes,
+            @ForAll @Size(min = 1, max = 300) List<@IntRange(max = 400) Integer> gapsMillis) {
+        List<RepeatBudget> fleet = new ArrayList<>();
+        for (int i = 0; i < processes; i++) {
+            RepeatBudget budget = new RepeatBudget(RATIO, EXTRA, 10 * SECOND);
+            budget.processes(processes);
+            fleet.add(budget);
+        }
+        List<Long> requests = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        long now = 0;
+        for (int i = 0; i < gapsMillis.size(); i++) {
+            now += gapsMillis.get(i) * 1_000_000L;
+            RepeatBudget budget = fleet.get(i * 7 % processes);
+            budget.request(now);
+            requests.add(now);
+            while (budget.take(now)) {
+                repeats.add(now);
+            }
+            long from = now - 10 * SECOND;
+            long inWindow = repeats.stream().filter(at -> at >= from).count();
+            long asked = requests.stream().filter(at -> at >= from).count();
+            assertThat((double) inWindow).isLessThanOrEqualTo(RATIO * asked + EXTRA);
+        }
+    }
+
+    @Test
+    void aSpentBudgetComesBackWithTime() {
+        RepeatBudget budget = new RepeatBudget(0, 10, 10 * SECOND);
+        int taken = 0;
+        while (budget.take(0)) {
+            taken++;
+        }
+        assertThat(taken).isEqualTo(8);
+        assertThat(budget.take(9 * SECOND)).isFalse();
+        assertThat(budget.take(11 * SECOND)).isTrue();
+    }
+}
--- /dev/null
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
@@ -0,0 +1,132 @@
+package org.dotterelcourse.policy.selection;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EngineSelectorTest {
+    private static final int ENGINES = 12;
+    private static final long SECOND = 1_000_000_000L;
+
+    private final CachedPrefixes prefixes = new CachedPrefixes();
+    private final EngineSplit split = new EngineSplit();
+    private final EngineSelector selector = selector(1, prefixes);
+
+    // Eight processes route prompts that begin with the same long part. If each had an engine of its own for it, eight
+    // engines would read it, and the streams on all of them would stutter meanwhile.
+    @Test
+    void processesThatKnowNothingOfEachOtherSendAPartToTheSameEngine() {
+        List<WorkerLoad> engines = idle(ENGINES);
+        for (int part = 0; part < 50; part++) {
+            Prompt prompt = prompt("part-" + part, Pace.PATIENT);
+            String first = selector.select(prompt, engines, SECOND).orElseThrow();
+            String second = selector(2, new CachedPrefixes())
+                    .select(prompt, engines, SECOND)
+                    .orElseThrow();
+            assertThat(second).isEqualTo(first);
+        }
+    }
+
+    // A long prompt holds up every step of its engine by some 50 ms; a stream with short pauses beside it is late.
+    @Test
+    void longPromptsAndStreamsWithShortPausesDoNotMeet() {
+        Map<String, Pace> users = new HashMap<>();
+        List<WorkerLoad> engines = idle(ENGINES);
+        for (int i = 0; i < 200; i++) {
+            Pace pace = i % 2 == 0 ? Pace.PATIENT : Pace.SHORT_PAUSES;
+            String engine =
+                    selector.select(prompt("p" + i, pace), engines, SECOND).orElseThrow();
+            assertThat(users.putIfAbsent(engine, pace)).isIn(null, pace);
+        }
+    }
+
+    // One process has just failed to reach an engine, another one has not tried. If the first counted it out of the
+    // ranks, all parts would have other homes there than elsewhere, and be read again.
+    @Test
+    void aSuspectedEngineChangesTheHomesOfNoOtherEnginesParts() {
+        List<WorkerLoad> engines = idle(ENGINES);
+        List<WorkerLoad> oneSuspected = new ArrayList<>(engines);
+        WorkerLoad suspect = engines.get(5);
+        oneSuspected.set(5, load(suspect.id(), suspect.address(), 0, 0, true));
+        for (int part = 0; part < 50; part++) {
+            Prompt prompt = prompt("part-" + part, Pace.PATIENT);
+            String before = selector.select(prompt, engines, SECOND).orElseThrow();
+            String after = selector.select(prompt, oneSuspected, SECOND).orElseThrow();
+            if (before.equals(suspect.id())) {
+                assertThat(after).isNotEqualTo(before);
+            } else {
+                assertThat(after).isEqualTo(before);
+            }
+        }
+    }
+
+    // An engine crashes and starts again: same address, new name. Nothing else has changed, and nothing else may move.
+    @Test
+    void anEngineThatStartsAgainAtItsAddressKeepsItsParts() {
+        List<WorkerLoad> engines = idle(ENGINES);
+        List<WorkerLoad> restarted = new ArrayList<>(engines);
+        restarted.set(7, load("another-name", engines.get(7).address(), 0, 0, false));
+        for (int part = 0; part < 50; part++) {
+            Prompt prompt = prompt("part-" + part, Pace.PATIENT);
+            String before = selector.select(prompt, engines, SECOND).orElseThrow();
+            String after = selector.select(prompt, restarted, SECOND).orElseThrow();
+            assertThat(after).isEqualTo(before.equals(engines.get(7).id()) ? "another-name" : before);
+        }
+    }
+
+    // Everybody asks for the same text at once. Waiting seconds at its engine makes every one of them late.
+    @Test
+    void aPartWhoseEngineIsFarBehindIsReadAgainElsewhere() {
+        List<WorkerLoad> engines = idle(ENGINES);
+        Prompt prompt = prompt("hot", Pace.PATIENT);
+        String home = selector.select(prompt, engines, SECOND).orElseThrow();
+        List<WorkerLoad> busy = engines.stream()
+                .map(each -> each.id().equals(home) ? load(home, each.address(), 20, 3_000, false) : each)
+                .toList();
+        assertThat(selector.select(prompt, busy, SECOND)).isPresent().get().isNotEqualTo(home);
+    }
+
+    @Test
+    void suspectedEnginesAreUsedWhereThereAreNoOthers() {
+        List<WorkerLoad> engines = List.of(load("a", "10.0.0.1:1", 0, 0, true), load("b", "10.0.0.2:1", 0, 0, true));
+        assertThat(selector.select(prompt("p", Pace.SOON), engines, SECOND)).isPresent();
+        assertThat(selector.select(prompt("p", Pace.SOON), List.of(), SECOND)).isEmpty();
+    }
+
+    @Test
+    void aPromptGoesWhereItsPartsHaveBeenReadThoughThatIsNotTheirHome() {
+        List<WorkerLoad> engines = idle(ENGINES);
+        Prompt prompt = prompt("part", Pace.SOON);
+        String home = selector.select(prompt, engines, SECOND).orElseThrow();
+        prefixes.sent(prompt, home, SECOND);
+        assertThat(prefixes.cachedTokens(prompt, home, 2 * SECOND)).isEqualTo(13_000);
+        assertThat(prefixes.cachedTokens(prompt, home, 100 * SECOND)).isZero();
+    }
+
+    private EngineSelector selector(long seed, CachedPrefixes cached) {
+        return new EngineSelector("dc", cached, split, new Random(seed));
+    }
+
+    private static Prompt prompt(String part, Pace pace) {
+        return new Prompt(
+                List.of(new Prompt.Part(part, 13_000), new Prompt.Part(part + "-own", 1_000)), 14_000, 100, pace);
+    }
+
+    private static List<WorkerLoad> idle(int count) {
+        List<WorkerLoad> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(load("engine-" + i, "10.0.0." + i + ":8000", 0, 0, false));
+        }
+        return engines;
+    }
+
+    private static WorkerLoad load(String id, String address, int inFlight, double prefill, boolean suspected) {
+        return new WorkerLoad(id, address, "dc", 64, inFlight, 0, prefill, suspected);
+    }
+}
--- /dev/null
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSplitTest.java
@@ -0,0 +1,105 @@
+package org.dotterelcourse.policy.selection;
+
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EngineSplitTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    @Property(tries = 300)
+    void everyEngineIsForExactlyOnePace(
+            @ForAll @IntRange(min = 3, max = 200) int engines,
+            @ForAll @IntRange(max = 50) int soon,
+            @ForAll @IntRange(max = 50) int patient) {
+        EngineSplit split = new EngineSplit();
+        for (int i = 0; i < soon; i++) {
+            split.arrived(prompt(Pace.SOON), i * SECOND / 10);
+        }
+        for (int i = 0; i < patient; i++) {
+            split.arrived(prompt(Pace.PATIENT), (soon + i) * SECOND / 10);
+        }
+        int next = 0;
+        for (Pace pace : Pace.values()) {
+            EngineSplit.Range range = split.range(pace, engines);
+            if (range.to() - range.from() < engines) {
+                assertThat(range.from()).isEqualTo(next);
+                assertThat(range.to()).isGreaterThan(range.from());
+                next = range.to();
+            }
+        }
+        assertThat(next).isIn(0, engines);
+    }
+
+    // Each change gives parts of prompts another home, where they are read again. A mix that moves a little must not
+    // cause that.
+    @Test
+    void aSmallChangeOfTheMixMovesNothing() {
+        EngineSplit split = new EngineSplit();
+        for (int i = 0; i < 60; i++) {
+            split.arrived(prompt(Pace.values()[i % 3]), 1_000 * SECOND);
+        }
+        EngineSplit.Range before = split.range(Pace.PATIENT, 12);
+        split.arrived(prompt(Pace.SHORT_PAUSES), 1_000 * SECOND);
+        split.arrived(prompt(Pace.SHORT_PAUSES), 1_000 * SECOND);
+        assertThat(split.range(Pace.PATIENT, 12)).isEqualTo(before);
+    }
+
+    // A process has just started. Its first request must not decide alone, or all engines would be for its pace.
+    @Test
+    void theFirstRequestOfAProcessDoesNotTakeAllEngines() {
+        EngineSplit split = new EngineSplit();
+        split.arrived(prompt(Pace.SHORT_PAUSES), 1_000_000 * SECOND);
+        assertThat(split.range(Pace.SHORT_PAUSES, 12).to()).isLessThan(6);
+        assertThat(split.range(Pace.PATIENT, 12).from()).isLessThan(9);
+    }
+
+    @Test
+    void processesThatHearOfEachOtherSplitAlike() {
+        EngineSplit one = new EngineSplit();
+        EngineSplit other = new EngineSplit();
+        for (int i = 0; i < 100; i++) {
+            one.arrived(prompt(Pace.PATIENT), SECOND);
+            other.arrived(prompt(Pace.SHORT_PAUSES), SECOND);
+        }
+        one.peer("other", other.own(), SECOND);
+        other.peer("one", one.own(), SECOND);
+        for (Pace pace : Pace.values()) {
+            assertThat(other.range(pace, 12)).isEqualTo(one.range(pace, 12));
+        }
+    }
+
+    @Test
+    void aPeerThatHasGoneSilentNoLongerCounts() {
+        EngineSplit split = new EngineSplit();
+        split.peer("gone", new PaceWork(new double[] {1_000_000, 0, 0}), SECOND);
+        EngineSplit.Range before = split.range(Pace.SHORT_PAUSES, 12);
+        split.arrived(prompt(Pace.PATIENT), 20 * SECOND);
+        assertThat(split.range(Pace.SHORT_PAUSES, 12).to()).isLessThan(before.to());
+    }
+
+    @Test
+    void fewEnginesAreSharedByAll() {
+        EngineSplit split = new EngineSplit();
+        assertThat(split.range(Pace.PATIENT, 1)).isEqualTo(new EngineSplit.Range(0, 1));
+        assertThat(split.range(Pace.SHORT_PAUSES, 2)).isEqualTo(new EngineSplit.Range(0, 1));
+        assertThat(split.range(Pace.SOON, 2)).isEqualTo(new EngineSplit.Range(1, 2));
+    }
+
+    @Test
+    void thePaceFollowsFromTheTargets() {
+        assertThat(Pace.of(120, 500, 2)).isEqualTo(Pace.SHORT_PAUSES);
+        assertThat(Pace.of(200, 800, 2)).isEqualTo(Pace.SOON);
+        assertThat(Pace.of(500, 2_500, 2)).isEqualTo(Pace.PATIENT);
+        assertThat(Pace.of(0, 100, 1)).isEqualTo(Pace.SOON);
+    }
+
+    private static Prompt prompt(Pace pace) {
+        return new Prompt(List.of(new Prompt.Part("own", 9_000)), 9_000, 100, pace);
+    }
+}
