--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -124,9 +124,17 @@
         }
         return collect(open)
                 .doFinally(signal -> placement.ended())
+                .doOnNext(answer -> closeUnlessOwn(own, open))
                 .flatMap(answer -> decide(call, placement, classify(call, answer), Optional.empty()));
     }
 
+    /** Behind an answer that belongs to another request, more of them may follow. */
+    private static void closeUnlessOwn(boolean own, OpenAnswer open) {
+        if (!own) {
+            open.close().run();
+        }
+    }
+
     private static boolean encoded(HttpHeaders headers) {
         return headers.contains(HttpHeaderNames.CONTENT_ENCODING);
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.gateway.forward;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.buffer.Unpooled;
@@ -11,17 +12,20 @@
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.SignalType;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 
 /**
- * Sends requests to workers over HTTP/1.1, each on a connection of its own.
+ * Sends requests to workers over HTTP/1.1, on a connection that was used a moment ago where there is one.
  *
- * <p>On a kept connection that the worker closes in the same moment nobody can tell whether the request was read, and a
- * late second answer to an earlier request would be taken for the answer to this one. A fresh connection has neither,
- * and costs a round trip within a data centre.
+ * <p>Kept connections save workers a handshake for each request. They have two dangers. A request on one that has gone
+ * silent, or that the worker closes in the same moment, is lost, and nobody can tell whether it ran; so a connection is
+ * used again only shortly after its last answer, and only after one that was a success. And a worker's late second
+ * answer could be taken for the next request's; what arrives on an idle connection closes it, and an answer with another
+ * request's id is not used ({@link Forwarder}).
  */
 final class WorkerClient {
     /**
@@ -30,13 +34,32 @@
      */
     private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
+    /**
+     * How long an idle connection is kept. With some requests a second from each process to each worker, two seconds
+     * find a connection for most of them; a worker that falls silent swallows those of two seconds at most.
+     */
+    private static final Duration MAX_IDLE = Duration.ofSeconds(2);
+
+    /** Connections to one worker; workers take some hundred from all processes together. */
+    private static final int MAX_CONNECTIONS = 128;
+
+    private static final int FIRST_UNSUCCESSFUL = 300;
+
     private final HttpClient client;
 
     WorkerClient(GatewayLoop loop) {
+        ConnectionProvider kept = ConnectionProvider.builder("workers")
+                .maxConnections(MAX_CONNECTIONS)
+                .maxIdleTime(MAX_IDLE)
+                .lifo()
+                .build();
         // The client would send a request again by itself when a connection breaks early, and a payout would run twice.
-        client = HttpClient.create(ConnectionProvider.newConnection())
+        client = HttpClient.create(kept)
                 .runOn(loop.resources(), false)
                 .disableRetry(true)
+                .doOnChannelInit(
+                        (observer, channel, address) -> channel.pipeline().addLast(new IdleGuard()))
+                .observe(IdleGuard::observe)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
     }
 
@@ -68,16 +91,18 @@
     }
 
     private static OpenAnswer open(HttpClientResponse response, Connection connection) {
+        int status = response.status().code();
+        Runnable close = () -> connection.channel().close();
         Flux<byte[]> body = connection
                 .inbound()
                 .receive()
                 .asByteArray()
                 .onErrorMap(error -> new SendFailure(true, error))
-                .doFinally(signal -> connection.channel().close());
-        return new OpenAnswer(
-                response.status().code(),
-                response.responseHeaders().copy(),
-                body,
-                () -> connection.channel().close());
+                .doFinally(signal -> {
+                    if (signal != SignalType.ON_COMPLETE || status >= FIRST_UNSUCCESSFUL) {
+                        close.run();
+                    }
+                });
+        return new OpenAnswer(status, response.responseHeaders().copy(), body, close);
     }
 }
