--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -196,11 +196,11 @@
     private void items(byte[] body) {
         try {
             FleetProtos.Items items = FleetProtos.Items.parseFrom(body);
-            List<PublishedItem> state = items.getItemsList().stream()
+            List<PublishedItem> whole = items.getItemsList().stream()
                     .map(item ->
                             new PublishedItem(item.getKey(), item.getValue().toByteArray(), item.getRevision(), false))
                     .toList();
-            publications.state(state, items.getRevision());
+            publications.state(whole, items.getRevision());
         } catch (InvalidProtocolBufferException e) {
             LOG.warn("items of a peer can't be read", e);
         }
