--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ChatDispatcher.java
@@ -7,6 +7,7 @@
 import org.dotterelcourse.policy.cell.ClassTerms;
 import org.dotterelcourse.policy.retry.Attempt;
 import org.dotterelcourse.policy.retry.RetryDecision;
+import org.jboss.logging.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -15,6 +16,8 @@
  * that breaks goes on elsewhere from the tokens that the caller already has.
  */
 public final class ChatDispatcher {
+    private static final Logger LOG = Logger.getLogger(ChatDispatcher.class);
+
     private final GrantSource grants;
     private final Engine engine;
     private final Retries retries;
@@ -108,6 +111,10 @@
             progress.next(resume.ask());
             return attempt(progress);
         }
+        RetryDecision.GiveUp given = (RetryDecision.GiveUp) decision;
+        LOG.infof(
+                "request %s is given up after worker %s, %d tokens: %s; %s",
+                progress.call().id(), grant.worker().name(), progress.tokens(), given.reason(), failure);
         return Flux.just(new AnswerEvent.Failed(Refusals.failure(failure, progress.mayHaveRun())));
     }
 
--- a/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
+++ b/dotterelcourse-it/src/test/java/org/dotterelcourse/it/Fleet.java
@@ -47,7 +47,7 @@
     Fleet(int engineCount, int serviceCount) {
         System.out.println("seed " + SEED);
         try {
-            directory = Files.createTempDirectory(Path.of("target"), "fleet");
+            directory = Files.createTempDirectory(Path.of("..", "target", "dotterelcourse-it"), "fleet");
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/retry/FractionRetryBudget.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/retry/FractionRetryBudget.java
@@ -12,8 +12,12 @@
     /** The usual fraction of successes. */
     public static final double USUAL_FRACTION = 0.1;
 
-    /** The usual reserve: retries that may be made before any success, and the most that can be saved up. */
-    public static final int USUAL_RESERVE = 10;
+    /**
+     * The usual reserve: retries that may be made before any success, and the most that can be saved up. An engine runs 64
+     * requests, of which each of eight daemons has 8; it covers four engines whose connections are cut one after the
+     * other. With 10, a daemon that had just started told 11 callers of 180 that their outcome was unknown.
+     */
+    public static final int USUAL_RESERVE = 32;
 
     private final double fraction;
     private final double reserve;
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/retry/RetryDecision.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/retry/RetryDecision.java
@@ -22,6 +22,19 @@
      * Nothing more is tried.
      *
      * @param outcome what the caller is told
+     * @param reason why nothing more is tried, for the log
      */
-    record GiveUp(FinalOutcome outcome) implements RetryDecision {}
+    record GiveUp(FinalOutcome outcome, Reason reason) implements RetryDecision {}
+
+    /** Why nothing more is tried. */
+    enum Reason {
+        /** It may have run, and must not run twice. */
+        MAY_HAVE_RUN,
+        /** Its class has no use for an answer that is late by now. */
+        TOO_LATE,
+        /** So many workers have failed it that it is likely the cause. */
+        FAILED_BY_MANY,
+        /** The upstream's budget of retries is spent. */
+        BUDGET_SPENT
+    }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/retry/SafeRetryPolicy.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/retry/SafeRetryPolicy.java
@@ -31,11 +31,17 @@
     @Override
     public RetryDecision decide(Ask ask, Attempt attempt, boolean resumable, RetryBudget budget, long nowNanos) {
         Failure failure = classifier.classify(attempt);
-        if (!mayRunAgain(ask, failure, resumable) || isPointless(ask, attempt, failure, nowNanos)) {
-            return new RetryDecision.GiveUp(outcome(failure));
+        if (!mayRunAgain(ask, failure, resumable)) {
+            return new RetryDecision.GiveUp(outcome(failure), RetryDecision.Reason.MAY_HAVE_RUN);
         }
-        if (!isOurs(attempt) && !budget.take()) {
-            return new RetryDecision.GiveUp(outcome(failure));
+        if (isTooLate(ask, failure, nowNanos)) {
+            return new RetryDecision.GiveUp(outcome(failure), RetryDecision.Reason.TOO_LATE);
+        }
+        if (excluded(ask, attempt).size() > MOST_EXCLUDED) {
+            return new RetryDecision.GiveUp(outcome(failure), RetryDecision.Reason.FAILED_BY_MANY);
+        }
+        if (!isOurs(attempt) && !isFirstResumption(ask, failure) && !budget.take()) {
+            return new RetryDecision.GiveUp(outcome(failure), RetryDecision.Reason.BUDGET_SPENT);
         }
         Ask next = next(ask, attempt, failure);
         boolean resumes = failure instanceof Failure.AnsweredInPart;
@@ -50,16 +56,26 @@
         return ask.idempotent() && (!isPart || resumable);
     }
 
-    private static boolean isPointless(Ask ask, Attempt attempt, Failure failure, long nowNanos) {
+    private static boolean isTooLate(Ask ask, Failure failure, long nowNanos) {
         boolean hasBegun = failure instanceof Failure.AnsweredInPart;
-        boolean tooLate = !hasBegun && ask.terms().lateIsUseless() && nowNanos >= ask.dueNanos();
-        return tooLate || excluded(ask, attempt).size() > MOST_EXCLUDED;
+        return !hasBegun && ask.terms().lateIsUseless() && nowNanos >= ask.dueNanos();
     }
 
     private static boolean isOurs(Attempt attempt) {
         return attempt.end() == Attempt.End.PREEMPTED || attempt.end() == Attempt.End.NEVER_SENT;
     }
 
+    /**
+     * The first time that an answer breaks off it goes on without the budget. A middlebox that cuts all connections to an
+     * engine breaks more answers at once than a quiet upstream's budget covers, and their callers would be told that the
+     * outcome is unknown, though all that is repeated is the reading of the prompt. Once a request, it can at most double
+     * that part of the load.
+     */
+    private static boolean isFirstResumption(Ask ask, Failure failure) {
+        return failure instanceof Failure.AnsweredInPart
+                && ask.excludedWorkers().isEmpty();
+    }
+
     private static Ask next(Ask ask, Attempt attempt, Failure failure) {
         int resumed = failure instanceof Failure.AnsweredInPart part ? part.tokens() : ask.resumedTokens();
         return new Ask(
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/retry/SafeRetryPolicyTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/retry/SafeRetryPolicyTest.java
@@ -59,7 +59,24 @@
                         RetryDecision.Resume.class,
                         resume -> assertThat(resume.ask().resumedTokens()).isEqualTo(40));
         assertThat(policy.decide(ask(true, 10), crash, false, budget, 5))
-                .isEqualTo(new RetryDecision.GiveUp(new FinalOutcome.CutShort(40)));
+                .isEqualTo(new RetryDecision.GiveUp(new FinalOutcome.CutShort(40), RetryDecision.Reason.MAY_HAVE_RUN));
+    }
+
+    @Test
+    void goesOnOnceWithAnAnswerThatBrokeOffThoughTheBudgetIsSpent() {
+        // Something between a daemon and an engine cuts all connections at once, and more answers break off than the
+        // budget covers. Callers who have half of their answer would be told that nobody knows what became of it.
+        while (budget.take()) {
+            // Spends it.
+        }
+        Attempt cut = new Attempt("llm-1", Attempt.End.BROKEN, true, 40, false);
+
+        RetryDecision first = policy.decide(ask(true, 0), cut, true, budget, 5);
+
+        assertThat(first).isInstanceOf(RetryDecision.Resume.class);
+        Attempt again = new Attempt("llm-2", Attempt.End.BROKEN, true, 60, false);
+        assertThat(policy.decide(((RetryDecision.Resume) first).ask(), again, true, budget, 5))
+                .isEqualTo(new RetryDecision.GiveUp(new FinalOutcome.CutShort(60), RetryDecision.Reason.BUDGET_SPENT));
     }
 
     @Test
@@ -74,7 +91,7 @@
                         resume -> assertThat(resume.ask().excludedWorkers()).isEmpty());
         Attempt broken = new Attempt("llm-1", Attempt.End.BROKEN, true, 0, true);
         assertThat(policy.decide(ask(true, 0), broken, true, budget, 5))
-                .isEqualTo(new RetryDecision.GiveUp(new FinalOutcome.Unknown()));
+                .isEqualTo(new RetryDecision.GiveUp(new FinalOutcome.Unknown(), RetryDecision.Reason.BUDGET_SPENT));
     }
 
     @Property(seed = "42", tries = 50)
