--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -200,7 +200,7 @@
             placement.succeeded(now);
             return Mono.just(whole(answer));
         }
-        placement.failed(now);
+        placement.failedByAnswer(now);
         if (call.terms().route().repeatable() && mayRepeat(call, now)) {
             return attempt(call, Optional.of(answer));
         }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
@@ -60,7 +60,16 @@
     }
 
     /**
-     * The worker has failed in a way that speaks against it.
+     * The worker has answered with a failure of its own.
+     *
+     * @param nowNanos the time
+     */
+    public void failedByAnswer(long nowNanos) {
+        worker.trust().failedByAnswer(nowNanos);
+    }
+
+    /**
+     * The request has broken at the worker.
      *
      * @param nowNanos the time
      */
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/WorkerTrust.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/WorkerTrust.java
@@ -17,11 +17,15 @@
     private static final long FIRST_PAUSE_NANOS = 500 * MILLISECOND;
     private static final long LONGEST_PAUSE_NANOS = 4_000 * MILLISECOND;
 
-    /** Part of its requests that a worker must fail lately to be left out though some succeed. */
-    private static final double FAILING_SHARE = 0.3;
+    /**
+     * Part of its requests that a worker must fail lately to be left out though some succeed. Services in use answer up to
+     * 14 in 100 requests with a failure of their own while nothing is wrong; three standard deviations of the average
+     * above that are 0.38.
+     */
+    private static final double FAILING_SHARE = 0.4;
 
-    /** Weight of the newest outcome in the average; the last ten or so decide. */
-    private static final double NEWEST = 0.15;
+    /** Weight of the newest outcome in the average; the last twenty or so decide. */
+    private static final double NEWEST = 0.1;
 
     private int failuresInRow;
     private double failingShare;
@@ -44,14 +48,26 @@
     }
 
     /**
-     * A request has failed there in a way that speaks against the worker.
+     * A request has broken there: its connection was reset, its answer was cut, or it was refused.
      *
      * @param nowNanos the time
      */
     public void failed(long nowNanos) {
         failuresInRow++;
+        failedByAnswer(nowNanos);
+        if (failuresInRow >= FAILURES_IN_ROW) {
+            suspect(nowNanos);
+        }
+    }
+
+    /**
+     * The worker has answered whole, with a failure of its own. Some of those are usual, also two in a row.
+     *
+     * @param nowNanos the time
+     */
+    public void failedByAnswer(long nowNanos) {
         failingShare = failingShare * (1 - NEWEST) + NEWEST;
-        if (failuresInRow >= FAILURES_IN_ROW || failingShare > FAILING_SHARE) {
+        if (failingShare > FAILING_SHARE) {
             suspect(nowNanos);
         }
     }
