--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
@@ -113,7 +113,6 @@
                 priority,
                 prompt,
                 arrivalNanos,
-                arrivalNanos + waits * NANOS_PER_MILLI,
                 arrivalNanos + bound * NANOS_PER_MILLI);
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
@@ -37,7 +37,7 @@
     /** Twice what clients may send by the published limits, so that those, not the parser, decide. */
     private static final int MAX_HEADER_BYTES = 32_768;
 
-    /** Above every published idle limit, so that no connection is closed that a client may still use. */
+    /** Above the idle limits in use (15 s), so that no connection is closed that a client may still use. */
     private static final Duration IDLE = Duration.ofSeconds(90);
 
     private static final Duration STOP_LIMIT = Duration.ofMillis(200);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -38,7 +38,6 @@
      * @param priority urgency, 0 the highest
      * @param prompt what it asks of an engine
      * @param arrivalNanos when it came
-     * @param clientDeadlineNanos when its client gives up
      * @param deadlineNanos when it must have its final answer
      */
     public record Terms(
@@ -50,7 +49,6 @@
             int priority,
             Optional<Prompt> prompt,
             long arrivalNanos,
-            long clientDeadlineNanos,
             long deadlineNanos) {}
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
@@ -12,7 +12,6 @@
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.SignalType;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
@@ -58,8 +57,7 @@
         client = HttpClient.create(kept)
                 .runOn(loop.resources(), false)
                 .disableRetry(true)
-                .doOnChannelInit(
-                        (observer, channel, address) -> channel.pipeline().addLast(new IdleGuard()))
+                .doOnChannelInit((observer, channel, address) -> IdleGuard.add(channel))
                 .observe(IdleGuard::observe)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
     }
@@ -94,13 +92,18 @@
     private static OpenAnswer open(HttpClientResponse response, Connection connection) {
         int status = response.status().code();
         Runnable close = () -> connection.channel().close();
+        // A client that closes its connection after the answer cancels this while its last signal is still on its way,
+        // so
+        // that the signal at the end doesn't tell whether the body was whole.
+        AtomicBoolean whole = new AtomicBoolean();
         Flux<byte[]> body = connection
                 .inbound()
                 .receive()
                 .asByteArray()
                 .onErrorMap(error -> new SendFailure(true, error))
+                .doOnComplete(() -> whole.set(true))
                 .doFinally(signal -> {
-                    if (signal != SignalType.ON_COMPLETE || status >= FIRST_UNSUCCESSFUL) {
+                    if (!whole.get() || status >= FIRST_UNSUCCESSFUL) {
                         close.run();
                     }
                 });
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
@@ -119,7 +119,7 @@
 
     /** Builds a table. */
     public static final class Builder {
-        private static final RequestLimits DEFAULT_LIMITS = new RequestLimits(4 << 20, 15_000);
+        private static final RequestLimits DEFAULT_LIMITS = new RequestLimits(4 << 20);
 
         private final long number;
         private final List<Route> routes = new ArrayList<>();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -1,7 +1,6 @@
 package org.dotterelcourse.gateway.workers;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -63,15 +62,6 @@
         return Optional.ofNullable(byId.get(id));
     }
 
-    /**
-     * How many workers are published.
-     *
-     * @return those that are leaving included
-     */
-    public int count() {
-        return byId.size();
-    }
-
     /**
      * The workers that a request may be sent to.
      *
@@ -119,15 +109,6 @@
         return own;
     }
 
-    /**
-     * All workers.
-     *
-     * @return their states
-     */
-    public Collection<WorkerState> all() {
-        return List.copyOf(byId.values());
-    }
-
     /**
      * A request is sent to a worker.
      *
