--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
@@ -4,6 +4,8 @@
 import java.util.List;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.dotterelcourse.daemon.kernel.Kernel;
@@ -148,13 +150,11 @@
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         long arrivalNanos = loop.nowNanos();
         RequestLog log = new RequestLog(dialect.requestId(request.requestHeaders()), arrivalNanos);
-        Mono<Void> gone = Mono.create(sink -> request.withConnection(
-                connection -> connection.channel().closeFuture().addListener(closed -> sink.success())));
         return Mono.defer(() -> {
                     inFlight.enter();
                     return body(request).flatMap(body -> serve(request, response, body, arrivalNanos, log));
                 })
-                .takeUntilOther(gone)
+                .takeUntilOther(gone(request))
                 .onErrorResume(TooLargeException.class, error -> own(response, TOO_LARGE, log))
                 .doOnError(error -> log.broken(error))
                 .doOnCancel(log::clientGone)
@@ -164,6 +164,16 @@
                 });
     }
 
+    /** Completes when the client's connection closes; a kept one doesn't go on listening for requests that have ended. */
+    private static Mono<Void> gone(HttpServerRequest request) {
+        return Mono.create(sink -> request.withConnection(connection -> {
+            ChannelFuture closing = connection.channel().closeFuture();
+            ChannelFutureListener listener = closed -> sink.success();
+            closing.addListener(listener);
+            sink.onDispose(() -> closing.removeListener(listener));
+        }));
+    }
+
     private Mono<byte[]> body(HttpServerRequest request) {
         int most = state.table().map(table -> table.limits().maxBodyBytes()).orElse(MAX_HEADER_BYTES);
         BodyCollector collector = new BodyCollector(most);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -21,6 +21,7 @@
     private final Set<String> tried = new HashSet<>();
     private int sends;
     private int connectFailures;
+    private boolean mayHaveRun;
     private String lastEventId = "";
     private long lastEventNanos;
     private long firstEventMillis;
@@ -123,6 +124,16 @@
         return sends;
     }
 
+    /** From now on nobody can say that the request was not run. */
+    void mayHaveRun() {
+        mayHaveRun = true;
+    }
+
+    /** Whether some worker may have run it, so that its client must not be told otherwise. */
+    boolean hasMaybeRun() {
+        return mayHaveRun;
+    }
+
     int connectFailures() {
         return connectFailures;
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -96,16 +96,16 @@
     private Mono<Reply> attempt(Call call, Optional<WholeAnswer> earlier) {
         long now = loop.nowNanos();
         if (call.leftMillis(now) < LEAST_LEFT_MILLIS) {
-            return Mono.just(giveUp(call, "no time left"));
+            return Mono.just(last(call, earlier, "no time left"));
         }
         Optional<Placement> chosen = selection.place(call, now);
         if (chosen.isEmpty()) {
-            return Mono.just(earlier.map(Forwarder::whole).orElseGet(() -> noWorker(call)));
+            return Mono.just(last(call, earlier, "no worker is free"));
         }
         Placement placement = chosen.get();
         return send(call, placement)
                 .timeout(Duration.ofMillis(call.leftMillis(now) + DEADLINE_GRACE_MILLIS), loop.scheduler())
-                .onErrorResume(TimeoutException.class, error -> Mono.just(giveUp(call, "timeout")))
+                .onErrorResume(TimeoutException.class, error -> Mono.just(timedOut(call, placement)))
                 .onErrorResume(SendFailure.class, error -> failed(call, placement, error, earlier))
                 .doOnCancel(placement::ended);
     }
@@ -120,7 +120,8 @@
         boolean own = dialect.marked(open.headers())
                 && dialect.requestId(open.headers()).equals(call.terms().id());
         if (call.terms().route().streaming() && own && open.status() / 100 == 2 && !encoded(open.headers())) {
-            return Mono.just(new Reply.Stream(open.status(), open.headers(), relay(call, placement, open)));
+            Flux<byte[]> events = relay(call, placement, open).takeUntilOther(deadline(call));
+            return Mono.just(new Reply.Stream(open.status(), open.headers(), events));
         }
         return collect(open)
                 .doFinally(signal -> placement.ended())
@@ -128,6 +129,12 @@
                 .flatMap(answer -> decide(call, placement, classify(call, answer), Optional.empty()));
     }
 
+    /** A stream that outlasts its route's timeout is cut, and the cut is visible: its client gets an error, not an end. */
+    private Mono<Void> deadline(Call call) {
+        Duration left = Duration.ofMillis(Math.max(0, call.leftMillis(loop.nowNanos())) + DEADLINE_GRACE_MILLIS);
+        return Mono.delay(left, loop.scheduler()).then(Mono.error(() -> new StreamTimeoutException()));
+    }
+
     /** Behind an answer that belongs to another request, more of them may follow. */
     private static void closeUnlessOwn(boolean own, OpenAnswer open) {
         if (!own) {
@@ -182,16 +189,14 @@
         }
         if (result instanceof AttemptResult.NotRun notRun) {
             boolean again = notRun.reached() ? mayRepeat(call, now) : call.connectFailures() < MOST_CONNECT_FAILURES;
-            return again
-                    ? attempt(call, earlier)
-                    : Mono.just(earlier.map(Forwarder::whole)
-                            .orElseGet(() -> own(OwnAnswer.notRun(notRun.reason(), RETRY_AFTER_FULL_MILLIS))));
+            return again ? attempt(call, earlier) : Mono.just(last(call, earlier, notRun.reason()));
         }
+        call.mayHaveRun();
         AttemptResult.Unknown unknown = (AttemptResult.Unknown) result;
         if (call.terms().route().repeatable() && mayRepeat(call, now)) {
             return attempt(call, earlier);
         }
-        return Mono.just(earlier.map(Forwarder::whole).orElseGet(() -> own(OwnAnswer.unknown(unknown.reason()))));
+        return Mono.just(last(call, earlier, unknown.reason()));
     }
 
     /** A failure that an idempotent request may outlive is tried elsewhere; if that fails too, this answer stands. */
@@ -201,6 +206,7 @@
             return Mono.just(whole(answer));
         }
         placement.failedByAnswer(now);
+        call.mayHaveRun();
         if (call.terms().route().repeatable() && mayRepeat(call, now)) {
             return attempt(call, Optional.of(answer));
         }
@@ -254,20 +260,23 @@
         return headers;
     }
 
-    private static Reply giveUp(Call call, String reason) {
-        return call.sends() == 0
-                ? own(OwnAnswer.notRun(reason, RETRY_AFTER_FULL_MILLIS))
-                : own(new OwnAnswer(OwnAnswer.GATEWAY_TIMEOUT, reason, 0));
-    }
-
-    private static Reply noWorker(Call call) {
-        return call.sends() == 0
-                ? own(OwnAnswer.notRun("no worker is free", RETRY_AFTER_FULL_MILLIS))
-                : own(OwnAnswer.unknown("no other worker is free"));
+    /** The time is up while a worker has the request: it may be running still. */
+    private static Reply timedOut(Call call, Placement placement) {
+        placement.ended();
+        call.mayHaveRun();
+        return new Reply.Own(new OwnAnswer(OwnAnswer.GATEWAY_TIMEOUT, "timeout", 0));
     }
 
-    private static Reply own(OwnAnswer answer) {
-        return new Reply.Own(answer);
+    /**
+     * The answer when nothing more is tried: a worker's own if there is one. That the request was not run is said only if
+     * no attempt of it may have run.
+     */
+    private static Reply last(Call call, Optional<WholeAnswer> earlier, String reason) {
+        if (earlier.isPresent()) {
+            return whole(earlier.get());
+        }
+        return new Reply.Own(
+                call.hasMaybeRun() ? OwnAnswer.unknown(reason) : OwnAnswer.notRun(reason, RETRY_AFTER_FULL_MILLIS));
     }
 
     private static Reply whole(WholeAnswer answer) {
