--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -122,21 +123,19 @@
                 .flatMap(value -> Stream.of(value.split(",")))
                 .map(each -> each.trim().toLowerCase(Locale.ROOT))
                 .collect(Collectors.toSet());
-        HttpHeaders passed = new DefaultHttpHeaders();
-        for (Map.Entry<String, String> header : headers) {
-            String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (!ONE_CONNECTION.contains(name) && !named.contains(name) && !dialect.reserved(name)) {
-                passed.add(header.getKey(), header.getValue());
-            }
-        }
-        return passed;
+        return without(headers, name -> named.contains(name) || dialect.reserved(name));
     }
 
     /** A worker's headers without those of one connection. */
     static HttpHeaders answerHeaders(HttpHeaders headers) {
+        return without(headers, name -> false);
+    }
+
+    private static HttpHeaders without(HttpHeaders headers, Predicate<String> left) {
         HttpHeaders passed = new DefaultHttpHeaders();
         for (Map.Entry<String, String> header : headers) {
-            if (!ONE_CONNECTION.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!ONE_CONNECTION.contains(name) && !left.test(name)) {
                 passed.add(header.getKey(), header.getValue());
             }
         }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.dotterelcourse.daemon.http.BoundedBody;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
 import org.dotterelcourse.daemon.kernel.ServiceName;
@@ -155,7 +156,7 @@
                     return body(request).flatMap(body -> serve(request, response, body, arrivalNanos, log));
                 })
                 .takeUntilOther(gone(request))
-                .onErrorResume(TooLargeException.class, error -> own(response, TOO_LARGE, log))
+                .onErrorResume(BoundedBody.TooLargeException.class, error -> own(response, TOO_LARGE, log))
                 .doOnError(error -> log.broken(error))
                 .doOnCancel(log::clientGone)
                 .doFinally(signal -> {
@@ -176,8 +177,7 @@
 
     private Mono<byte[]> body(HttpServerRequest request) {
         int most = state.table().map(table -> table.limits().maxBodyBytes()).orElse(MAX_HEADER_BYTES);
-        BodyCollector collector = new BodyCollector(most);
-        return request.receive().asByteArray().doOnNext(collector::add).then(Mono.fromSupplier(collector::bytes));
+        return new BoundedBody(most).collect(request.receive());
     }
 
     private Mono<Void> serve(
