--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/collect/CollectorPlan.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/collect/CollectorPlan.java
@@ -15,8 +15,8 @@
 /**
  * Which process gathers whose reports, and which processes read what is published on behalf of the others.
  *
- * <p>It answers the growth of a fleet: when each of n processes tells each other one, n² messages pass in each period, and
- * with 59 processes of a third of a core that was more work than the requests. So above a size, the processes of each
+ * <p>It answers the growth of a fleet: when each of n processes tells each other one, n² messages pass in each period,
+ * 8,400 a second with 59 processes that speak each 0.4 s. So above a size, the processes of each
  * data centre report to one collector among them; collectors tell each other their sums, and their reporters everything.
  * Nothing is elected: each process works the plan out from the members that it knows, by rendezvous hashing, so that
  * processes with the same view agree and one that is lost is replaced by the next in the order. Where views differ for a
@@ -31,7 +31,7 @@
 
     /**
      * Reporters of one collector. At ten reports a second each, with as many answers, this is 640 messages a second, a
-     * tenth of a core at the 75 µs that a message between daemons took.
+     * twentieth of a core at the 75 µs that a message between daemons took.
      */
     static final int MOST_REPORTERS = 32;
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayLoop.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayLoop.java
@@ -84,8 +84,8 @@
     }
 
     /**
-     * Runs a task at the next multiple of a period, so that tasks of the same period wake the process once: a VM of a
-     * third of a core was woken some 30 times a second without any requests.
+     * Runs a task at the next multiple of a period, so that tasks of the same period wake the process once. With this and
+     * the peers' sockets on the same thread, a process without requests was woken 76 times a second in place of 93.
      *
      * @param periodMillis the period
      * @param task must not block
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -58,8 +58,8 @@
 
     /**
      * How much more it weighs to read parts at an engine that is not one of their homes. It bounds the engines that read
-     * the same parts: with any of 70 to choose from, a burst that came before anything had been read had its parts read
-     * 2.3 times on average, and the reading delayed everything for 10 s.
+     * the same parts: when a burst of 5,316 long prompts met 98 engines that had read nothing yet, 16 million tokens were
+     * read again with any engine to choose from and 4 million with three, and 4,416 and 5,188 of the prompts were on time.
      */
     private static final double NOT_HOME = 4;
 
