Read-through: one way to send the fleet's messages, no state twice, suspects worked out once a request

FleetExchange and ItemRelay each had the choice between datagram and TCP with its own bound: FleetMessages has it now. StoreDuty kept the time of its own last answer beside the class that keeps such times. Workers asked each worker twice whether all processes suspect it.

Behaviour is meant to be the same.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -63,8 +63,6 @@
     /** How long a silent collector is not tried again; membership knows by then whether it lives. */
     private static final long AVOIDED_MILLIS = 5_000;
 
-    private static final int MOST_DATAGRAM_BYTES = 1_200;
-
     /** Stands for whichever process is this one's collector, so that the next one's sum replaces the last one's. */
     private static final String COLLECTOR = "";
 
@@ -203,11 +201,7 @@
     }
 
     private void send(Member member, byte[] report) {
-        if (report.length <= MOST_DATAGRAM_BYTES) {
-            transport.sendDatagram(member.address(), LOADS, report);
-        } else {
-            transport.send(member.address(), LOADS, report);
-        }
+        FleetMessages.send(transport, member, LOADS, report);
     }
 
     private byte[] report(
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
@@ -36,9 +36,6 @@
     /** How long a process may be behind a peer until it asks; the changes are mostly on their way. */
     private static final long BEHIND_MILLIS = 150;
 
-    /** Larger changes go by TCP. */
-    private static final int MOST_DATAGRAM_BYTES = 1_200;
-
     private GatewayLoop loop;
     private Publications publications;
     private Peers peers;
@@ -122,11 +119,7 @@
             if (!near || member.name().equals(peers.self()) || member.state() == MemberState.DEAD) {
                 continue;
             }
-            if (body.length <= MOST_DATAGRAM_BYTES) {
-                transport.sendDatagram(member.address(), ITEMS, body);
-            } else {
-                transport.send(member.address(), ITEMS, body);
-            }
+            FleetMessages.send(transport, member, ITEMS, body);
         }
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StoreDuty.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StoreDuty.java
@@ -28,9 +28,9 @@
 
     private final News follower = new News();
     private final News onTask = new News();
+    private final News answered = new News();
     private boolean task;
     private boolean follows;
-    private long answeredNanos;
     private boolean behind;
     private long behindNanos;
 
@@ -101,7 +101,7 @@
      */
     public void answered(long nowNanos) {
         follows = true;
-        answeredNanos = nowNanos;
+        answered.at(nowNanos);
     }
 
     /** The store has not answered this process, or is no longer asked. */
@@ -155,7 +155,6 @@
     }
 
     private long own(long nowNanos) {
-        boolean fresh = follows && nowNanos - answeredNanos < HEARD_NANOS;
-        return fresh ? Math.max(0, nowNanos - answeredNanos) / MILLISECOND : -1;
+        return follows ? answered.millis(nowNanos) : -1;
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -87,17 +87,19 @@
     public List<WorkerLoad> candidates(String upstream, Set<String> except, long nowNanos) {
         refresh(nowNanos);
         List<WorkerState> serving = new ArrayList<>();
-        int suspects = 0;
+        Set<WorkerState> suspects = new HashSet<>();
         for (WorkerState worker : byId.values()) {
             if (worker.entry().upstream().equals(upstream) && !worker.entry().leaving()) {
                 serving.add(worker);
-                suspects += worker.suspectedByAll(nowNanos) ? 1 : 0;
+                if (worker.suspectedByAll(nowNanos)) {
+                    suspects.add(worker);
+                }
             }
         }
-        boolean few = suspects <= MOST_SUSPECTED * serving.size();
+        boolean few = suspects.size() <= MOST_SUSPECTED * serving.size();
         return serving.stream()
                 .filter(worker -> !except.contains(worker.entry().id()))
-                .map(worker -> worker.load(nowNanos, few && worker.suspectedByAll(nowNanos)))
+                .map(worker -> worker.load(nowNanos, few && suspects.contains(worker)))
                 .toList();
     }
 
