--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Value.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/Value.java
@@ -23,7 +23,13 @@
     private static final Pattern MODEL = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:/@+-]{0,126}");
     private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
     private static final Pattern INTEGER = Pattern.compile("[0-9]{1,18}");
-    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,9})?");
+
+    /**
+     * Also fractions as other programs write them, to the last digit of a double or with an exponent. A reader that
+     * refuses 37.45454545454545 keeps the whole process from starting.
+     */
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,20})?([eE][+-]?[0-9]{1,2})?");
+
     private static final Pattern LIST_SEPARATOR = Pattern.compile("\\s*,\\s*");
     private static final Pattern PATH = Pattern.compile("[^\\s;#\"'\\\\]+");
 
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
@@ -4,6 +4,8 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -41,6 +43,20 @@
         });
     }
 
+    // The platform fills in a figure that it has worked out, with all digits of a double. Were it refused, no process
+    // of
+    // that deployment would start, and every client would find nobody.
+    @ParameterizedTest
+    @CsvSource({"37.45454545454545,37.45454545454545", "0.10000000000000000555,0.1", "5.6E+1,56", "1e-05,0.00001"})
+    void readsFractionsAsOtherProgramsWriteThem(String written, double value) {
+        String text = RIGHT.replace("extra = 56", "extra = " + written);
+        assertThat(reader.read("f", text))
+                .isInstanceOfSatisfying(
+                        Checked.Valid.class,
+                        valid -> assertThat(((GatewaySettings) valid.value()).repeatExtra())
+                                .isEqualTo(value));
+    }
+
     @Test
     void allowsAnEmptyListOfSeeds() {
         String text = RIGHT.replace("10.0.0.1:8229,10.0.0.2:8229", "");
