A worker that starts again under its name begins anew; entries that can't be read name no worker

Cause: a worker may start again under the id it had, told by the time of its start; until now it was taken for the same process, with its old load, failures and parts of prompts. And an entry that another writer had spoilt left the worker that stood there before in use. Change: an incarnation (id and start) names the worker in loads, peers' messages and places of prompts' parts; an older start changes nothing; of two workers at an address the one that started last is used, and entries of upstreams that nobody configured take no address.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -93,6 +93,7 @@
             return;
         }
         table = next;
+        workers.upstreams(next::hasUpstream);
         audit.add(AuditEvent.Kind.CONFIGURATION, "routing", "published", "" + before, "" + next.number());
     }
 
@@ -206,6 +207,7 @@
     }
 
     private static String describe(WorkerEntry entry) {
-        return entry.upstream() + " " + entry.host() + ":" + entry.port() + (entry.leaving() ? " leaving" : " live");
+        return entry.upstream() + " " + entry.host() + ":" + entry.port() + (entry.leaving() ? " leaving" : " live")
+                + (entry.startMillis() == 0 ? "" : " since " + entry.startMillis());
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
@@ -47,13 +47,13 @@
     }
 
     private Placement place(Call call, WorkerState worker, long nowNanos) {
-        String id = worker.entry().id();
+        int incarnation = worker.entry().incarnation();
         Optional<Prompt> prompt = call.terms().prompt();
         if (prompt.isEmpty()) {
             return state.workers().place(worker, false, 0);
         }
-        double prefill = prompt.get().prefillMillis(state.prefixes().cachedTokens(prompt.get(), id, nowNanos));
-        state.prefixes().sent(prompt.get(), id, nowNanos);
+        double prefill = prompt.get().prefillMillis(state.prefixes().cachedTokens(prompt.get(), incarnation, nowNanos));
+        state.prefixes().sent(prompt.get(), incarnation, nowNanos);
         return state.workers().place(worker, prompt.get().pace() == Pace.SHORT_PAUSES, prefill);
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
@@ -86,6 +86,16 @@
         return upstreams.getOrDefault(name, new UpstreamSpec(name, false, 0));
     }
 
+    /**
+     * Whether an upstream was published.
+     *
+     * @param name its name
+     * @return true if it was
+     */
+    public boolean hasUpstream(String name) {
+        return upstreams.containsKey(name);
+    }
+
     /**
      * Whether requests need a customer's key, but on anonymous routes.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/PeerLoads.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/PeerLoads.java
@@ -54,7 +54,7 @@
      *
      * @param peer its name
      * @param scope for whom it speaks
-     * @param loads by the key of the worker; workers that are missing have nothing
+     * @param loads by the incarnation of the worker; workers that are missing have nothing
      * @param nowNanos the time
      */
     public void told(String peer, Scope scope, Map<Integer, Load> loads, long nowNanos) {
@@ -69,7 +69,7 @@
      * Adds up what all peers said.
      *
      * @param nowNanos the time
-     * @return by the key of the worker
+     * @return by the incarnation of the worker
      */
     public Map<Integer, Load> sums(long nowNanos) {
         return sum(nowNanos, "", false);
@@ -79,7 +79,7 @@
      * Adds up what those said that report to this process.
      *
      * @param nowNanos the time
-     * @return by the key of the worker
+     * @return by the incarnation of the worker
      */
     public Map<Integer, Load> reported(long nowNanos) {
         return sum(nowNanos, "", true);
@@ -90,7 +90,7 @@
      *
      * @param peer the one to leave out
      * @param nowNanos the time
-     * @return by the key of the worker
+     * @return by the incarnation of the worker
      */
     public Map<Integer, Load> without(String peer, long nowNanos) {
         return sum(nowNanos, peer, false);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
@@ -1,9 +1,12 @@
 package org.dotterelcourse.gateway.workers;
 
+import java.util.Objects;
+
 /**
  * A worker as it is published.
  *
- * @param id its name, new with each start
+ * @param id its name; another start may bear the same one
+ * @param startMillis when it started, in milliseconds since 1970 by its own clock; 0 if it doesn't say
  * @param upstream the upstream that it serves
  * @param host its IP number
  * @param port its TCP port
@@ -12,7 +15,14 @@
  * @param leaving whether it takes no new work
  */
 public record WorkerEntry(
-        String id, String upstream, String host, int port, String dataCentre, int slots, boolean leaving) {
+        String id,
+        long startMillis,
+        String upstream,
+        String host,
+        int port,
+        String dataCentre,
+        int slots,
+        boolean leaving) {
     /**
      * Where it listens.
      *
@@ -21,4 +31,14 @@
     public String address() {
         return host + ":" + port;
     }
+
+    /**
+     * A short name of this start of the worker, for messages between processes. That two of some thousand share one is
+     * unlikely and harmless.
+     *
+     * @return the same for the same name and start
+     */
+    public int incarnation() {
+        return startMillis == 0 ? id.hashCode() : Objects.hash(id, startMillis);
+    }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -8,25 +8,35 @@
 public final class WorkerState {
     private final WorkerTrust trust = new WorkerTrust();
     private final RecentOutcomes outcomes = new RecentOutcomes();
-    private final int key;
+    private final int incarnation;
+    private final long order;
     private WorkerEntry entry;
     private int inFlight;
     private int interactive;
     private double prefillMillis;
     private PeerLoads.Load others = PeerLoads.Load.NONE;
 
-    WorkerState(WorkerEntry entry) {
+    /**
+     * Makes a state of which nothing is known yet.
+     *
+     * @param order rises with each worker that becomes known
+     */
+    WorkerState(WorkerEntry entry, long order) {
         this.entry = entry;
-        this.key = key(entry.id());
+        this.incarnation = entry.incarnation();
+        this.order = order;
     }
 
-    /** A short name for messages between processes; that two of some thousand workers share one is unlikely and harmless. */
-    static int key(String id) {
-        return id.hashCode();
+    int incarnation() {
+        return incarnation;
     }
 
-    int key() {
-        return key;
+    /** Whether it started after another one: by what both say of it, else by when they became known. */
+    boolean startedAfter(WorkerState other) {
+        long start = entry.startMillis();
+        long otherStart = other.entry.startMillis();
+        boolean told = start != 0 && otherStart != 0 && start != otherStart;
+        return told ? start > otherStart : order > other.order;
     }
 
     /**
@@ -91,6 +101,7 @@
     WorkerLoad load(long nowNanos, boolean suspectedByAll) {
         return new WorkerLoad(
                 entry.id(),
+                incarnation,
                 entry.address(),
                 entry.dataCentre(),
                 entry.slots(),
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.dotterelcourse.policy.selection.WorkerLoad;
 
@@ -29,30 +30,42 @@
     private boolean changed;
     private long refreshedNanos;
 
-    /** Workers whose address another one has taken; their entries may still be told of. */
-    private final Set<String> replaced = new HashSet<>();
+    /** By address, the worker that was the last to start there. Made anew when the workers have changed. */
+    private final Map<String, WorkerState> holders = new HashMap<>();
+
+    private boolean holdersKnown;
+    private Predicate<String> upstreamKnown = upstream -> true;
+    private long nextOrder;
 
     /**
-     * A worker is published, or what is published of it has changed.
+     * A worker is published, or what is published of it has changed. Where it has started again under its name, nothing
+     * that was known of it holds any more: what it had in flight, what it had read and how often it failed was another
+     * process's. What is published late of an earlier start changes nothing.
      *
      * @param entry the worker
      */
     public void published(WorkerEntry entry) {
         WorkerState known = byId.get(entry.id());
-        if (known != null) {
+        if (known != null && entry.startMillis() < known.entry().startMillis()) {
+            return;
+        }
+        holdersKnown = false;
+        if (known != null && entry.incarnation() == known.incarnation()) {
             known.entry(entry);
-        } else if (!replaced.contains(entry.id())) {
-            byId.values().removeIf(each -> isReplacedBy(each.entry(), entry));
-            byId.put(entry.id(), new WorkerState(entry));
+        } else {
+            byId.put(entry.id(), new WorkerState(entry, nextOrder++));
+            changed = true;
         }
     }
 
     /**
-     * A worker that crashed stays published until its entry runs out, while the one that took its address is there
-     * already: every request meant for the old one would be refused by the new one.
+     * Tells which upstreams exist.
+     *
+     * @param known whether an upstream of a name does
      */
-    private boolean isReplacedBy(WorkerEntry old, WorkerEntry entry) {
-        return old.address().equals(entry.address()) && replaced.add(old.id());
+    public void upstreams(Predicate<String> known) {
+        upstreamKnown = known;
+        holdersKnown = false;
     }
 
     /**
@@ -62,10 +75,28 @@
      * @return what was known of it
      */
     public Optional<WorkerEntry> gone(String id) {
-        replaced.remove(id);
+        holdersKnown = false;
         return Optional.ofNullable(byId.remove(id)).map(WorkerState::entry);
     }
 
+    /**
+     * Whether another worker has the address now. One that crashed stays published until its entry runs out, while the one
+     * that took its address is there already: every request meant for the old one would be refused by the new one. An
+     * entry that names an upstream which nobody has configured says nothing about an address: anybody may have written it.
+     */
+    private boolean displaced(WorkerState worker) {
+        if (!holdersKnown) {
+            holdersKnown = true;
+            holders.clear();
+            byId.values().stream()
+                    .filter(each -> upstreamKnown.test(each.entry().upstream()))
+                    .forEach(each -> holders.merge(
+                            each.entry().address(), each, (one, other) -> one.startedAfter(other) ? one : other));
+        }
+        WorkerState holder = holders.get(worker.entry().address());
+        return holder != null && holder != worker;
+    }
+
     /**
      * Finds a worker.
      *
@@ -89,7 +120,9 @@
         List<WorkerState> serving = new ArrayList<>();
         Set<WorkerState> suspects = new HashSet<>();
         for (WorkerState worker : byId.values()) {
-            if (worker.entry().upstream().equals(upstream) && !worker.entry().leaving()) {
+            boolean serves = worker.entry().upstream().equals(upstream)
+                    && !worker.entry().leaving();
+            if (serves && !displaced(worker)) {
                 serving.add(worker);
                 if (worker.suspectedByAll(nowNanos)) {
                     suspects.add(worker);
@@ -108,7 +141,7 @@
      *
      * @param peer its name
      * @param scope for whom it speaks
-     * @param loads by the key of the worker
+     * @param loads by the incarnation of the worker
      * @param nowNanos the time
      */
     public void peerLoad(String peer, PeerLoads.Scope scope, Map<Integer, PeerLoads.Load> loads, long nowNanos) {
@@ -124,21 +157,21 @@
         changed = false;
         refreshedNanos = nowNanos;
         Map<Integer, PeerLoads.Load> sums = peerLoads.sums(nowNanos);
-        byId.values().forEach(worker -> worker.others(sums.getOrDefault(worker.key(), PeerLoads.Load.NONE)));
+        byId.values().forEach(worker -> worker.others(sums.getOrDefault(worker.incarnation(), PeerLoads.Load.NONE)));
     }
 
     /**
      * What this process has in flight and has lately seen, for its peers.
      *
      * @param nowNanos the time
-     * @return by the key of the worker, only workers of which there is something to tell
+     * @return by the incarnation of the worker, only workers of which there is something to tell
      */
     public Map<Integer, PeerLoads.Load> own(long nowNanos) {
         Map<Integer, PeerLoads.Load> own = new HashMap<>();
         byId.values().forEach(worker -> {
             PeerLoads.Load load = worker.own(nowNanos);
             if (load.inFlight() > 0 || load.succeeded() + load.failed() > LEAST_OUTCOMES) {
-                own.put(worker.key(), load);
+                own.put(worker.incarnation(), load);
             }
         });
         return own;
@@ -148,7 +181,7 @@
      * What this process and those that report to it know, for other collectors.
      *
      * @param nowNanos the time
-     * @return by the key of the worker
+     * @return by the incarnation of the worker
      */
     public Map<Integer, PeerLoads.Load> gathered(long nowNanos) {
         return plusOwn(peerLoads.reported(nowNanos), nowNanos);
@@ -159,7 +192,7 @@
      *
      * @param peer its name
      * @param nowNanos the time
-     * @return by the key of the worker
+     * @return by the incarnation of the worker
      */
     public Map<Integer, PeerLoads.Load> othersOf(String peer, long nowNanos) {
         return plusOwn(peerLoads.without(peer, nowNanos), nowNanos);
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/CachedPrefixes.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/CachedPrefixes.java
@@ -10,8 +10,9 @@
  * Which worker has lately read which shared parts of prompts, by what this process and its peers have sent there. The
  * least recently used parts are forgotten, as engines do.
  *
- * <p>Parts and workers are known by hashes of their names, which are short enough to be told to peers several times a
- * second. Two names with the same hash cost a prompt a bad place at worst.
+ * <p>Parts and incarnations of workers are known by hashes, which are short enough to be told to peers several times a
+ * second. Two with the same hash cost a prompt a bad place at worst. A worker that starts again has read nothing, which
+ * its new incarnation says.
  */
 public final class CachedPrefixes {
     /** Parts that are remembered; an engine of half a million tokens holds some hundred parts of a few thousand. */
@@ -41,7 +42,7 @@
      * A part that a worker has read.
      *
      * @param part hash of the part's name
-     * @param worker hash of the worker's name
+     * @param worker the worker's incarnation
      */
     public record Place(int part, int worker) {}
 
@@ -51,13 +52,13 @@
      * A prompt is sent to a worker.
      *
      * @param prompt the prompt
-     * @param worker the worker's id
+     * @param worker the worker's incarnation
      * @param nowNanos the time
      */
-    public void sent(Prompt prompt, String worker, long nowNanos) {
+    public void sent(Prompt prompt, int worker, long nowNanos) {
         int shared = prompt.parts().size() - 1;
         for (int i = 0; i < shared; i++) {
-            Place place = new Place(prompt.parts().get(i).id().hashCode(), worker.hashCode());
+            Place place = new Place(prompt.parts().get(i).id().hashCode(), worker);
             Map<Integer, Use> uses = uses(place.part(), nowNanos);
             Use before = uses.get(place.worker());
             boolean tell = before == null || nowNanos - before.toldNanos() > TOLD_AGAIN_NANOS;
@@ -111,15 +112,15 @@
      * How much of a prompt a worker has read before: its first parts up to the first that it has not.
      *
      * @param prompt the prompt
-     * @param worker the worker's id
+     * @param worker the worker's incarnation
      * @param nowNanos the time
      * @return tokens
      */
-    public int cachedTokens(Prompt prompt, String worker, long nowNanos) {
+    public int cachedTokens(Prompt prompt, int worker, long nowNanos) {
         int tokens = 0;
         for (Prompt.Part part : prompt.parts()) {
             Map<Integer, Use> uses = usesByPart.get(part.id().hashCode());
-            Use use = uses == null ? null : uses.get(worker.hashCode());
+            Use use = uses == null ? null : uses.get(worker);
             if (use == null || nowNanos - use.usedNanos() > KEPT_NANOS) {
                 return tokens;
             }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -121,7 +121,7 @@
             if (anySound && worker.suspected()) {
                 continue;
             }
-            int cached = prefixes.cachedTokens(prompt, worker.id(), nowNanos);
+            int cached = prefixes.cachedTokens(prompt, worker.incarnation(), nowNanos);
             double cost = cost(prompt, worker, cached)
                     + reading(prompt, cached, read, homes.indexOf(worker.id()))
                     + (range.holds(i) ? 0 : outside(prompt, cached));
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
@@ -4,6 +4,7 @@
  * What is known of one worker when a request is placed.
  *
  * @param id the worker's name, unique in the fleet
+ * @param incarnation names one start of the worker: after another start, nothing that was known of it holds
  * @param address its IP number and port, which it mostly keeps when it starts again under another name
  * @param dataCentre where it stands
  * @param slots how many requests it runs at once
@@ -14,6 +15,7 @@
  */
 public record WorkerLoad(
         String id,
+        int incarnation,
         String address,
         String dataCentre,
         int slots,
