The line in front of engines: bounded memory, its share of the room in a function of its own, waits in the request's log line

Read-through: no sentinel for the first round, an entry is a class and not a record with its equality undone, customers that lately got next to nothing are forgotten above 256. Each request's log line tells how long it waited before it was first sent, and its urgency, so that a wait can be told from a slow engine.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestLog.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestLog.java
@@ -49,6 +49,8 @@
             MDC.put("customer", call.terms().customer());
             MDC.put("worker", call.lastWorker());
             MDC.put("sends", Integer.toString(call.sends()));
+            MDC.put("waitedMillis", Long.toString(call.waitedMillis()));
+            MDC.put("urgency", Integer.toString(call.terms().priority()));
             if (call.terms().route().streaming()) {
                 MDC.put("firstEventMillis", Long.toString(call.firstEventMillis()));
                 MDC.put("longestPauseMillis", Long.toString(call.longestPauseMillis()));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -30,6 +30,7 @@
     private double lastPauseMillis;
     private int events;
     private long sentNanos;
+    private long waitedMillis;
     private String lastWorker = "";
 
     /**
@@ -106,6 +107,9 @@
 
     /** A worker is about to get the request. */
     void sending(String worker, long nowNanos) {
+        if (sentNanos == 0) {
+            waitedMillis = (nowNanos - terms.arrivalNanos()) / NANOS_PER_MILLI;
+        }
         sentNanos = nowNanos;
         tried.add(worker);
         lastWorker = worker;
@@ -173,6 +177,15 @@
         return lastPauseMillis;
     }
 
+    /**
+     * Time from the request's arrival until it was first sent to a worker.
+     *
+     * @return milliseconds, 0 if it was not sent
+     */
+    public long waitedMillis() {
+        return waitedMillis;
+    }
+
     /**
      * Time from the request's arrival to its first event.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineLines.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineLines.java
@@ -40,16 +40,14 @@
     private final Map<String, WaitingLine<Entry>> lines = new HashMap<>();
     private boolean looking;
 
-    /** A call in a line, and who hears of its end there. */
-    private record Entry(Call call, MonoSink<Admitted> sink) {
-        @Override
-        public boolean equals(Object other) {
-            return this == other;
-        }
-
-        @Override
-        public int hashCode() {
-            return System.identityHashCode(this);
+    /** A call in a line, and who hears of its end there; two are never equal. */
+    private static final class Entry {
+        private final Call call;
+        private final MonoSink<Admitted> sink;
+
+        private Entry(Call call, MonoSink<Admitted> sink) {
+            this.call = call;
+            this.sink = sink;
         }
     }
 
@@ -111,12 +109,12 @@
     }
 
     private void join(WaitingLine<Entry> line, Entry entry) {
-        Call.Terms terms = entry.call().terms();
+        Call.Terms terms = entry.call.terms();
         double lead = state.model(terms.upstream().name()).leadMillis();
         long onTime = terms.arrivalNanos() + nanos(terms.route().targetMillis() - lead);
-        long inTime = terms.deadlineNanos() - nanos(Selection.usualMillis(entry.call()));
+        long inTime = terms.deadlineNanos() - nanos(Selection.usualMillis(entry.call));
         line.join(new Waiter<>(entry, terms.priority(), terms.customer(), terms.arrivalNanos(), onTime, inTime));
-        entry.sink().onDispose(() -> line.leave(entry));
+        entry.sink.onDispose(() -> line.leave(entry));
         if (!looking) {
             looking = true;
             loop.after(LOOK_MILLIS, this::look);
@@ -139,34 +137,35 @@
         }
     }
 
-    /** All processes see the same free places; each takes its part of them, by chance where that is less than one. */
     private void letThrough(WaitingLine<Entry> line, long now) {
-        int allowed = Integer.MAX_VALUE;
-        while (line.size() > 0 && allowed > 0) {
+        int allowed =
+                line.next(now).map(first -> partOfRoom(first.item().call, now)).orElse(0);
+        for (int i = 0; i < allowed && line.size() > 0; i++) {
             Entry entry = line.next(now).orElseThrow().item();
-            if (allowed == Integer.MAX_VALUE) {
-                double part = selection.room(entry.call(), now) / (double) Math.max(1, state.reachable());
-                allowed = (int) part + (random.nextDouble() < part - (int) part ? 1 : 0);
-                continue;
-            }
-            Selection.Outcome outcome = selection.placeInRoom(entry.call(), now);
+            Selection.Outcome outcome = selection.placeInRoom(entry.call, now);
             if (outcome instanceof Selection.Outcome.NoRoom) {
                 return;
             }
-            allowed--;
             line.leave(entry);
-            line.placed(entry.call().terms().customer(), now);
-            entry.sink().success(new Admitted.Through(outcome));
+            line.placed(entry.call.terms().customer(), now);
+            entry.sink.success(new Admitted.Through(outcome));
         }
     }
 
+    /** All processes see the same free places; each takes its part of them, by chance where that is less than one. */
+    private int partOfRoom(Call call, long now) {
+        double part = selection.room(call, now) / (double) Math.max(1, state.reachable());
+        int whole = (int) part;
+        return whole + (random.nextDouble() < part - whole ? 1 : 0);
+    }
+
     /** The process takes nothing on any more: who waits is told to go elsewhere. */
     void close() {
         lines.values().forEach(line -> refuse(line, line.takeAll(), loop.nowNanos()));
     }
 
     private void refuse(WaitingLine<Entry> line, List<Waiter<Entry>> refused, long now) {
-        refused.forEach(each -> each.item().sink().success(new Admitted.Refused(retryAfterMillis(line, now))));
+        refused.forEach(each -> each.item().sink.success(new Admitted.Refused(retryAfterMillis(line, now))));
     }
 
     private long retryAfterMillis(WaitingLine<Entry> line, long now) {
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/line/WaitingLine.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/line/WaitingLine.java
@@ -25,6 +25,12 @@
     /** As long as a burst takes to build up: a customer's share is judged by what it got in the last seconds. */
     private static final double HALF_LIFE_NANOS = 4e9;
 
+    /** Above this number, customers that lately got next to nothing are forgotten, so that the memory stays bounded. */
+    private static final int MANY_CUSTOMERS = 256;
+
+    private static final double FORGOTTEN = 0.01;
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final List<Waiter<T>> waiting = new ArrayList<>();
     private final Map<String, Served> served = new HashMap<>();
     private boolean oldestNext;
@@ -96,6 +102,9 @@
         placedNanos = nowNanos;
         Served before = served.getOrDefault(customer, new Served(0, nowNanos));
         served.put(customer, new Served(before.lately(nowNanos) + 1, nowNanos));
+        if (served.size() > MANY_CUSTOMERS) {
+            served.values().removeIf(each -> each.lately(nowNanos) < FORGOTTEN);
+        }
     }
 
     private double placedLately(long nowNanos) {
@@ -111,7 +120,7 @@
     public double waitMillis(long nowNanos) {
         double perNano = placedLately(nowNanos) * Math.log(2) / HALF_LIFE_NANOS;
         double nanos = perNano == 0 ? HALF_LIFE_NANOS : waiting.size() / perNano;
-        return waiting.isEmpty() ? 0 : nanos / 1e6;
+        return waiting.isEmpty() ? 0 : nanos / NANOS_PER_MILLI;
     }
 
     /**
