dotterelctl losses: which requests were lost and to what, as CSV from routers' logs

What for: on-call engineers have only logs; by route, customer, worker or second the requests are counted that were on time, late to the first event, paused too long, refused, failed or cut, and left by their client.

--- a/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/CommandLine.java
+++ b/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/CommandLine.java
@@ -39,6 +39,7 @@
                 .withCommand(AuditCommand.class)
                 .withCommand(DrainCommand.class)
                 .withCommand(LoadCommand.class)
+                .withCommand(LossesCommand.class)
                 .withCommand(VersionCommand.class);
         builder.withGroup("settings")
                 .withDescription("Daemons' settings files")
