Two processes of the fleet follow the store, by an order that all agree on; calls last as long as the deployment's bound allows

Cause: one process of each data centre followed the store, and a call waited a second at most whatever the bound on changes. Processes whose store was away for some of them all began to call it, and stopped only for the one whose task it was. Hypothesis: two followers, in two data centres, hold every bound: what is heard of one counts for three quarters of the time within which changes must be in force, and the others take over in doubling groups of the order before it ends. Ruled out: one follower only (its loss would always use up most of the bound); pushing to every process of all data centres (bytes between them are priced, and 94 messages a change); so one relay a data centre passes changes on.

--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param addresses where it tells which addresses to use
  * @param peers where it listens for other processes, TCP and UDP
  * @param store the platform's store
+ * @param changesWithin the time within which published changes must be in force everywhere
  * @param seeds peers' addresses to begin with
  * @param repeatRatio repeats that an upstream may be sent for each request
  * @param repeatExtra repeats in a window beside these, of the whole fleet
@@ -30,6 +31,7 @@
         String addresses,
         String peers,
         String store,
+        Duration changesWithin,
         List<String> seeds,
         double repeatRatio,
         double repeatExtra,
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
@@ -14,6 +14,10 @@
     private static final Map<String, List<String>> KEYS = keys();
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final Value<Double> SECONDS = Value.decimal(0.001, 86_400);
+    private static final Value<Double> MILLIS = Value.decimal(100, 3_600_000);
+    /** The shortest time that deployments ask for. */
+    private static final double CHANGES_WITHIN = 2_000;
+
     private static final Value<Double> COUNT = Value.decimal(0, 1_000_000);
 
     /**
@@ -40,6 +44,9 @@
                 listen.required("addresses", Value.ADDRESS),
                 listen.required("peers", Value.ADDRESS),
                 platform.required("store", Value.ADDRESS),
+                shorter(
+                        platform.optional("configuration-milliseconds", MILLIS, CHANGES_WITHIN),
+                        platform.optional("leaving-milliseconds", MILLIS, CHANGES_WITHIN)),
                 platform.optional("seeds", Value.ADDRESSES, List.of()),
                 repeats.required("ratio", COUNT),
                 repeats.required("extra", COUNT),
@@ -51,11 +58,15 @@
         return Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
     }
 
+    private static Duration shorter(double first, double second) {
+        return Duration.ofMillis(Math.round(Math.min(first, second)));
+    }
+
     private static Map<String, List<String>> keys() {
         Map<String, List<String>> keys = new LinkedHashMap<>();
         keys.put(DAEMON, List.of("name", "data-centre", "region", "grace-seconds"));
         keys.put(LISTEN, List.of("clients", "readiness", "addresses", "peers"));
-        keys.put(PLATFORM, List.of("store", "seeds"));
+        keys.put(PLATFORM, List.of("store", "configuration-milliseconds", "leaving-milliseconds", "seeds"));
         keys.put(REPEATS, List.of("ratio", "extra", "window-seconds"));
         return keys;
     }
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
@@ -23,6 +23,8 @@
             peers = 10.0.0.1:8229
             [platform]
             store = 10.9.0.1:8223
+            configuration-milliseconds = 4000
+            leaving-milliseconds = 3000
             seeds = 10.0.0.1:8229,10.0.0.2:8229
             [repeats]
             ratio = 0.2
@@ -40,9 +42,21 @@
             assertThat(settings.seeds()).isEqualTo(List.of("10.0.0.1:8229", "10.0.0.2:8229"));
             assertThat(settings.repeatRatio()).isEqualTo(0.2);
             assertThat(settings.store()).isEqualTo("10.9.0.1:8223");
+            assertThat(settings.changesWithin()).isEqualTo(Duration.ofSeconds(3));
         });
     }
 
+    @Test
+    void takesTheShortestTimeForChangesWhereNoneIsGiven() {
+        String text =
+                RIGHT.replace("configuration-milliseconds = 4000\n", "").replace("leaving-milliseconds = 3000\n", "");
+        assertThat(reader.read("f", text))
+                .isInstanceOfSatisfying(
+                        Checked.Valid.class,
+                        valid -> assertThat(((GatewaySettings) valid.value()).changesWithin())
+                                .isEqualTo(Duration.ofSeconds(2)));
+    }
+
     // The platform fills in a figure that it has worked out, with all digits of a double. Were it refused, no process
     // of
     // that deployment would start, and every client would find nobody.
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/collect/CollectorPlan.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/collect/CollectorPlan.java
@@ -1,7 +1,6 @@
 package org.dotterelcourse.coordination.collect;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,7 +12,7 @@
 import org.dotterelcourse.coordination.ownership.Rendezvous;
 
 /**
- * Which process gathers whose reports, and which processes read what is published on behalf of the others.
+ * Which process gathers whose reports, and which processes read what is published on behalf of the others and pass it on.
  *
  * <p>It answers the growth of a fleet: when each of n processes tells each other one, n² messages pass in each period,
  * 8,400 a second with 59 processes that speak each 0.4 s. So above a size, the processes of each
@@ -35,6 +34,7 @@
      */
     static final int MOST_REPORTERS = 32;
 
+    private static final int MOST_READERS = 2;
     private static final String GATHERS = "gathers";
     private static final String READS = "reads";
 
@@ -42,7 +42,8 @@
     private final int size;
     private final Map<String, List<String>> collectorsByDataCentre = new TreeMap<>();
     private final Map<String, List<String>> orderByDataCentre = new TreeMap<>();
-    private final Set<String> readers = new HashSet<>();
+    private final Map<String, String> relays = new TreeMap<>();
+    private final List<String> readingOrder;
     private final String dataCentre;
 
     private CollectorPlan(String self, List<Member> members) {
@@ -55,6 +56,18 @@
                     .add(member.name());
         }
         names.forEach(this::plan);
+        readingOrder = readingOrder(members);
+    }
+
+    /** The relays come first, so that the first two stand in two data centres. */
+    private List<String> readingOrder(List<Member> members) {
+        List<String> order = new ArrayList<>(Rendezvous.order(READS, relays.values()));
+        List<String> others = members.stream()
+                .map(Member::name)
+                .filter(name -> !relays.containsValue(name))
+                .toList();
+        order.addAll(Rendezvous.order(READS, others));
+        return List.copyOf(order);
     }
 
     /**
@@ -84,7 +97,7 @@
         int collectors = (names.size() + MOST_REPORTERS - 1) / MOST_REPORTERS;
         orderByDataCentre.put(place, order);
         collectorsByDataCentre.put(place, List.copyOf(order.subList(0, collectors)));
-        readers.add(Rendezvous.order(READS + place, names).get(0));
+        relays.put(place, Rendezvous.order(READS + place, names).get(0));
     }
 
     /**
@@ -141,11 +154,42 @@
     }
 
     /**
-     * Whether this process reads what is published on behalf of its data centre.
+     * The order in which processes come into question to read what is published on behalf of the others.
+     *
+     * @return the names of all, the first of each data centre before the rest
+     */
+    public List<String> readingOrder() {
+        return readingOrder;
+    }
+
+    /**
+     * How many processes are to read on behalf of the others: a second one, in another data centre, so that the loss of
+     * a VM or a data centre delays nothing.
+     *
+     * @return 1 if there is one data centre only
+     */
+    public int readers() {
+        return Math.min(MOST_READERS, Math.max(1, relays.size()));
+    }
+
+    /**
+     * Whether this process passes what others have read on to its data centre.
      *
      * @return true for one process of each data centre
      */
-    public boolean reader() {
-        return readers.contains(self);
+    public boolean relay() {
+        return self.equals(relays.get(dataCentre));
+    }
+
+    /**
+     * The processes that pass on what this one has read.
+     *
+     * @return one of each other data centre
+     */
+    public List<String> otherRelays() {
+        return relays.entrySet().stream()
+                .filter(relay -> !relay.getKey().equals(dataCentre))
+                .map(Map.Entry::getValue)
+                .toList();
     }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
@@ -144,6 +144,15 @@
         return settings.name();
     }
 
+    /**
+     * The data centre that this daemon stands in.
+     *
+     * @return its name
+     */
+    public String dataCentre() {
+        return settings.dataCentre();
+    }
+
     /**
      * The region that this daemon stands in.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -13,6 +13,7 @@
 import org.dotterelcourse.coordination.collect.CollectorPlan;
 import org.dotterelcourse.coordination.membership.Member;
 import org.dotterelcourse.coordination.membership.MemberState;
+import org.dotterelcourse.coordination.ownership.Rendezvous;
 import org.dotterelcourse.coordination.transport.PeerTransport;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
@@ -66,6 +67,8 @@
     /** Stands for whichever process is this one's collector, so that the next one's sum replaces the last one's. */
     private static final String COLLECTOR = "";
 
+    private static final String FOLLOWER = "follower";
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final Map<String, Long> reporters = new HashMap<>();
@@ -120,8 +123,13 @@
         if (view != planned || plan == null) {
             planned = view;
             plan = CollectorPlan.of(peers.self(), view);
+            publications
+                    .duty()
+                    .order(
+                            id(peers.self()),
+                            plan.readingOrder().stream().map(FleetExchange::id).toList(),
+                            plan.readers());
         }
-        publications.duty().task(plan.reader());
         int others = (int) view.stream().filter(this::isOther).count();
         state.processes(others + 1);
         if (plan.direct()) {
@@ -149,7 +157,9 @@
     }
 
     private boolean due(Map<Integer, PeerLoads.Load> own, long now) {
-        boolean due = now - lastToldNanos >= UNCHANGED_PERIOD_MILLIS * NANOS_PER_MILLI || !own.equals(lastTold);
+        boolean due = now - lastToldNanos >= UNCHANGED_PERIOD_MILLIS * NANOS_PER_MILLI
+                || publications.duty().answeredSince(lastToldNanos)
+                || !own.equals(lastTold);
         if (due) {
             lastTold = own;
             lastToldNanos = now;
@@ -214,12 +224,8 @@
                 .setKind(kind)
                 .setRevision(publications.revision())
                 .setWorkers(LoadCodec.encode(loads));
-        StoreDuty duty = publications.duty();
-        if (duty.followerMillis(now) >= 0) {
-            report.setFollowerMillis((int) duty.followerMillis(now));
-        }
-        if (duty.followerOnTaskMillis(now) >= 0) {
-            report.setReaderMillis((int) duty.followerOnTaskMillis(now));
+        for (StoreDuty.Follower follower : publications.duty().followers(now)) {
+            report.addFollowers(follower.id()).addFollowerMillis((int) follower.ageMillis());
         }
         places.forEach(place -> report.addParts(place.part()).addPartWorkers(place.worker()));
         state.splits().forEach((upstream, split) -> {
@@ -257,7 +263,7 @@
         state.workers().peerLoad(peer, scope, loads, now);
         work(peer, scope, report, now);
         places(scope, report, now);
-        follower(report, now);
+        followers(report, now);
         relay.heard(peer, report.getRevision());
     }
 
@@ -296,13 +302,15 @@
         }
     }
 
-    private void follower(FleetProtos.LoadReport report, long now) {
-        StoreDuty duty = publications.duty();
-        if (report.hasFollowerMillis()) {
-            duty.followerHeard(now - report.getFollowerMillis() * NANOS_PER_MILLI);
-        }
-        if (report.hasReaderMillis()) {
-            duty.followerOnTaskHeard(now - report.getReaderMillis() * NANOS_PER_MILLI);
+    private void followers(FleetProtos.LoadReport report, long now) {
+        int count = Math.min(report.getFollowersCount(), report.getFollowerMillisCount());
+        for (int i = 0; i < count; i++) {
+            publications.duty().heard(report.getFollowers(i), now - report.getFollowerMillis(i) * NANOS_PER_MILLI);
         }
     }
+
+    /** Stands for a process's name in reports, which go out ten times a second. */
+    private static int id(String name) {
+        return (int) Rendezvous.weight(FOLLOWER, name);
+    }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
@@ -4,6 +4,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.dotterelcourse.coordination.collect.CollectorPlan;
 import org.dotterelcourse.coordination.membership.Member;
 import org.dotterelcourse.coordination.membership.MemberState;
 import org.dotterelcourse.coordination.transport.PeerTransport;
@@ -19,8 +20,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Passes published items between processes: changes from the one that follows the store to all others in its data centre,
- * and everything to one that is behind.
+ * Passes published items between processes: changes from one that follows the store to all others, by way of one process
+ * of each other data centre, so that they cross between data centres once; and everything to one that is behind.
  *
  * <p>Without it, a process that the store turns away would go on with revoked keys and gone workers for as long as that
  * lasts, and every process would have to follow the store by itself.
@@ -62,7 +63,8 @@
         transport.receive(
                 ITEMS_REQUEST,
                 message -> loop.execute(() -> itemsWanted(message.sender().name())));
-        transport.receive(ITEMS, message -> loop.execute(() -> items(message.body())));
+        transport.receive(
+                ITEMS, message -> loop.execute(() -> items(message.sender().name(), message.body())));
         publications.onRead(this::push);
         return List.of();
     }
@@ -105,24 +107,43 @@
         peers.send(peer, ITEMS, items.toByteArray());
     }
 
-    /** Changes that this process has read from the store go to those in its data centre that rest. */
+    /** Changes that this process has read from the store go to its data centre and to one process of each other one. */
     private void push(List<PublishedItem> changes, long after, long upTo) {
         byte[] body = encode(changes, upTo)
                 .setAfter(after)
                 .setHoldMillis((int) publications.holdMillis())
                 .build()
                 .toByteArray();
-        List<Member> view = peers.view();
-        String dataCentre = view.isEmpty() ? "" : view.get(0).payload().dataCentre();
-        for (Member member : view) {
-            boolean near = member.payload().dataCentre().equals(dataCentre);
-            if (!near || member.name().equals(peers.self()) || member.state() == MemberState.DEAD) {
-                continue;
+        sendNear(body);
+        List<String> relays = plan().otherRelays();
+        for (Member member : peers.view()) {
+            if (relays.contains(member.name())) {
+                FleetMessages.send(transport, member, ITEMS, body);
+            }
+        }
+    }
+
+    private CollectorPlan plan() {
+        return CollectorPlan.of(peers.self(), peers.view());
+    }
+
+    private void sendNear(byte[] body) {
+        for (Member member : peers.view()) {
+            boolean other = !member.name().equals(peers.self()) && member.state() != MemberState.DEAD;
+            if (other && near(member)) {
+                FleetMessages.send(transport, member, ITEMS, body);
             }
-            FleetMessages.send(transport, member, ITEMS, body);
         }
     }
 
+    private boolean near(Member member) {
+        return member.payload().dataCentre().equals(peers.dataCentre());
+    }
+
+    private boolean far(String peer) {
+        return peers.view().stream().anyMatch(member -> member.name().equals(peer) && !near(member));
+    }
+
     private static FleetProtos.Items.Builder encode(List<PublishedItem> published, long revision) {
         FleetProtos.Items.Builder items = FleetProtos.Items.newBuilder().setRevision(revision);
         for (PublishedItem item : published) {
@@ -135,7 +156,7 @@
         return items;
     }
 
-    private void items(byte[] body) {
+    private void items(String peer, byte[] body) {
         FleetProtos.Items items;
         try {
             items = FleetProtos.Items.parseFrom(body);
@@ -149,7 +170,10 @@
                 .toList();
         publications.hold(items.getHoldMillis());
         if (items.hasAfter()) {
-            publications.relayed(published, items.getAfter(), items.getRevision());
+            boolean news = publications.relayed(published, items.getAfter(), items.getRevision());
+            if (news && far(peer) && plan().relay()) {
+                sendNear(body);
+            }
         } else {
             publications.state(published, items.getRevision());
         }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.published;
 
+import java.time.Duration;
 import java.util.List;
 
 import org.dotterelcourse.daemon.kernel.Kernel;
@@ -26,7 +27,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final PublishedItems items = new PublishedItems();
-    private final StoreDuty duty = new StoreDuty();
+    private final StoreDuty duty;
     private final ItemDecoder decoder;
     private GatewayLoop loop;
     private long holdUntilNanos;
@@ -50,9 +51,11 @@
      * Makes publications of which nothing is known.
      *
      * @param decoder takes the news
+     * @param bound the time within which changes must be in force
      */
-    public Publications(ItemDecoder decoder) {
+    public Publications(ItemDecoder decoder, Duration bound) {
         this.decoder = decoder;
+        this.duty = new StoreDuty(bound);
     }
 
     @Override
@@ -159,9 +162,12 @@
      * @param changes the changes
      * @param after the revision that they follow
      * @param upTo the revision up to which they are complete
+     * @return whether any of them was new
      */
-    public void relayed(List<PublishedItem> changes, long after, long upTo) {
-        apply(items.merge(changes, after, upTo));
+    public boolean relayed(List<PublishedItem> changes, long after, long upTo) {
+        List<PublishedItem> news = items.merge(changes, after, upTo);
+        apply(news);
+        return !news.isEmpty();
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StoreDuty.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StoreDuty.java
@@ -1,84 +1,105 @@
 package org.dotterelcourse.gateway.published;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
 /**
  * Whether this process has to follow the platform's store itself, or may rely on peers that do. Used on one thread only.
  *
  * <p>It answers the growth of a fleet: each change of any worker ends a waiting call of every process that follows, so
- * that 59 processes made 190 calls a second while 101 workers started. So one process of each data centre follows on
- * behalf of the others, and the others rest while they hear that somebody does. One that hears of nobody, or that stays
- * behind what peers know, follows by itself: it may be cut off from its peers and not from the store, or the messages
- * with the changes may get lost on a connection that has gone silent.
+ * that 59 processes made 190 calls a second while 101 workers started. So the first few processes of an order on which
+ * all agree follow on behalf of the others, who rest while they hear of enough that stand before them. A process that
+ * hears of too few, or that stays behind what peers know, follows by itself: those that followed may be lost or turned
+ * away by the store, it may be cut off from its peers and not from the store, or messages with changes may get lost on a
+ * connection that has gone silent.
+ *
+ * <p>Those that come into question after a loss begin one after the other, in groups that double. If all began at once,
+ * a store that turns some processes away would be called by all others until it takes these back.
  */
 public final class StoreDuty {
     private static final long MILLISECOND = 1_000_000L;
 
     /**
-     * How long ago a follower may have had its last answer from the store, as far as this process knows. A waiting call is
-     * answered after a second at the latest, a report comes each half second at least; and changes must be in force within
-     * two seconds, of which one read of the store takes some 20 ms. A follower that is cut off from the store goes on
-     * saying when it last had an answer, so that its word runs out by itself.
+     * Parts of the time within which changes must be in force. A call waits for half of it. What is heard of a follower
+     * counts for three quarters: its last answer may be as old as a call, and the word of that travels for some
+     * 0.3 s. A step between groups is a fortieth, so that the seventh group, the last one of 250 processes, still begins in
+     * time; while somebody follows there is no hurry, and the order is better known after an eighth.
      */
-    private static final long HEARD_NANOS = 1_600 * MILLISECOND;
+    private static final int CALL_PART = 2;
+
+    private static final int STEP_PART = 40;
+    private static final int CALM_STEP_PART = 8;
 
     /** How long a process may stay behind: asking a peer takes a few milliseconds and is tried first. */
     private static final long BEHIND_NANOS = 400 * MILLISECOND;
 
-    /** Processes that may ask a store that is away twice a second each; more of them take turns. */
-    private static final int ASKING = 8;
-
-    private final News follower = new News();
-    private final News onTask = new News();
-    private final News answered = new News();
-    private boolean task;
+    /**
+     * Processes that ask a store that is away as often as one alone would; more of them take turns. With pauses of half a
+     * second these are eight calls a second of the whole fleet, and the first that is answered is told on.
+     */
+    private static final int ASKING = 4;
+
+    private final long boundNanos;
+    private final Map<Integer, Long> heard = new HashMap<>();
+    private final Map<Integer, Integer> ranks = new HashMap<>();
+    private int self;
+    private int wanted = 1;
+    private boolean met;
     private boolean follows;
+    private long answeredNanos;
     private boolean behind;
     private long behindNanos;
+    private boolean uncovered;
+    private long uncoveredNanos;
 
-    /** When something was last known to be so. */
-    private static final class News {
-        private boolean any;
-        private long atNanos;
-
-        void at(long nanos) {
-            atNanos = any ? Math.max(atNanos, nanos) : nanos;
-            any = true;
-        }
-
-        boolean fresh(long nowNanos) {
-            return any && nowNanos - atNanos < HEARD_NANOS;
-        }
-
-        /** Milliseconds since then, -1 if that is too long ago. */
-        long millis(long nowNanos) {
-            return fresh(nowNanos) ? Math.max(0, nowNanos - atNanos) / MILLISECOND : -1;
-        }
-    }
+    /**
+     * A process that follows the store, as it is told to peers.
+     *
+     * @param id stands for its name
+     * @param ageMillis how long ago it had an answer of the store
+     */
+    public record Follower(int id, long ageMillis) {}
 
     /**
-     * Whether it is this process's task to follow on behalf of others.
+     * Makes a process's duty before it knows any other.
      *
-     * @param isTask true if so
+     * @param bound the time within which changes must be in force
      */
-    public void task(boolean isTask) {
-        task = isTask;
+    public StoreDuty(Duration bound) {
+        boundNanos = bound.toNanos();
     }
 
     /**
-     * A peer has said that some process follows.
+     * The processes of the fleet are known.
      *
-     * @param atNanos when that process was known to follow, on this process's clock
+     * @param ownId stands for this process's name
+     * @param order all processes' ids, the first to follow first
+     * @param followers how many are to follow
      */
-    public void followerHeard(long atNanos) {
-        follower.at(atNanos);
+    public void order(int ownId, List<Integer> order, int followers) {
+        self = ownId;
+        wanted = followers;
+        ranks.clear();
+        for (int id : order) {
+            ranks.putIfAbsent(id, ranks.size());
+        }
     }
 
     /**
-     * A peer has said that some process follows whose task that is.
+     * A peer has told of a process that follows, which may be this one.
      *
-     * @param atNanos when that process was known to follow, on this process's clock
+     * @param id stands for its name
+     * @param atNanos when that process had an answer, on this process's clock
      */
-    public void followerOnTaskHeard(long atNanos) {
-        onTask.at(atNanos);
+    public void heard(int id, long atNanos) {
+        met = true;
+        if (id != self) {
+            heard.merge(id, atNanos, Math::max);
+        }
     }
 
     /**
@@ -101,7 +122,7 @@
      */
     public void answered(long nowNanos) {
         follows = true;
-        answered.at(nowNanos);
+        answeredNanos = nowNanos;
     }
 
     /** The store has not answered this process, or is no longer asked. */
@@ -109,6 +130,16 @@
         follows = false;
     }
 
+    /**
+     * Whether the store has answered this process since some moment, and it still follows.
+     *
+     * @param nanos the moment
+     * @return true if peers should hear of it
+     */
+    public boolean answeredSince(long nanos) {
+        return follows && answeredNanos - nanos > 0;
+    }
+
     /**
      * Whether to call the store.
      *
@@ -116,45 +147,80 @@
      * @return false if others do
      */
     public boolean mustFollow(long nowNanos) {
-        // One that follows stops only for one whose task it is: two that are no more than helpers would stop for each
-        // other.
-        boolean covered = follows ? onTask.fresh(nowNanos) : follower.fresh(nowNanos);
+        heard.values().removeIf(atNanos -> !fresh(atNanos, nowNanos));
+        int own = rank();
+        long before = heard.keySet().stream()
+                .filter(id -> ranks.getOrDefault(id, Integer.MAX_VALUE) < own)
+                .count();
+        boolean lacking = before < wanted;
+        if (lacking && !uncovered) {
+            uncoveredNanos = nowNanos;
+        }
+        uncovered = lacking;
         boolean lost = behind && nowNanos - behindNanos > BEHIND_NANOS;
-        return task || !covered || lost;
+        return lost || lacking && (follows || nowNanos - uncoveredNanos >= turnNanos(own));
     }
 
-    /**
-     * How long to wait before a store that doesn't answer is asked again.
-     *
-     * @param pauseMillis the pause of a small fleet
-     * @param processes processes of the fleet, as far as this one hears of them
-     * @return a longer pause if there are many, since the first that gets an answer tells the others
-     */
-    public static long pauseMillis(long pauseMillis, int processes) {
-        return pauseMillis * Math.max(1, processes / ASKING);
+    private int rank() {
+        return ranks.getOrDefault(self, 0);
+    }
+
+    /** How long after too few are known to follow a process's turn comes. */
+    private long turnNanos(int rank) {
+        if (!met) {
+            // It has just started, and those that follow will be heard of; with a whole fleet that starts there are
+            // none.
+            return boundNanos / CALM_STEP_PART;
+        }
+        int group = Integer.SIZE - Integer.numberOfLeadingZeros(rank / wanted);
+        return group * (boundNanos / (heard.isEmpty() ? STEP_PART : CALM_STEP_PART));
     }
 
     /**
-     * Since when it is known that some process follows.
+     * The processes that are known to follow.
      *
      * @param nowNanos the time
-     * @return milliseconds, -1 if that is too long ago
+     * @return as many as are to follow, the first ones in the order
      */
-    public long followerMillis(long nowNanos) {
-        return own(nowNanos) >= 0 ? own(nowNanos) : follower.millis(nowNanos);
+    public List<Follower> followers(long nowNanos) {
+        List<Follower> followers = new ArrayList<>();
+        heard.forEach((id, atNanos) -> add(followers, id, atNanos, nowNanos));
+        if (follows) {
+            add(followers, self, answeredNanos, nowNanos);
+        }
+        followers.sort(Comparator.comparing(each -> ranks.getOrDefault(each.id(), Integer.MAX_VALUE)));
+        return followers.subList(0, Math.min(wanted, followers.size()));
+    }
+
+    private void add(List<Follower> followers, int id, long atNanos, long nowNanos) {
+        if (fresh(atNanos, nowNanos)) {
+            followers.add(new Follower(id, Math.max(0, nowNanos - atNanos) / MILLISECOND));
+        }
+    }
+
+    private boolean fresh(long atNanos, long nowNanos) {
+        return nowNanos - atNanos < boundNanos - boundNanos / 4;
     }
 
     /**
-     * Since when it is known that a process follows whose task that is.
+     * How long a waiting call to the store may wait. A connection that has gone silent shows only by its timeout.
      *
-     * @param nowNanos the time
-     * @return milliseconds, -1 if that is too long ago
+     * @return the time
      */
-    public long followerOnTaskMillis(long nowNanos) {
-        return task && own(nowNanos) >= 0 ? own(nowNanos) : onTask.millis(nowNanos);
+    public Duration longestCall() {
+        return Duration.ofNanos(boundNanos / CALL_PART);
     }
 
-    private long own(long nowNanos) {
-        return follows ? answered.millis(nowNanos) : -1;
+    /**
+     * How long to wait before a store that doesn't answer is asked again. Processes that fail at the same moment are
+     * spread by their place in the order, and stay so.
+     *
+     * @param pauseMillis the pause of a process that is alone
+     * @param failures calls that have failed one after the other, this one included
+     * @return the pause
+     */
+    public long pauseMillis(long pauseMillis, int failures) {
+        int turns = failures == 1 ? rank() / ASKING + 1 : ranks.size() / ASKING;
+        return pauseMillis * Math.max(1, turns);
     }
 }
