--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditTrail.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditTrail.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.daemon.audit;
 
 import java.io.IOException;
+import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -11,8 +12,8 @@
 import java.util.Deque;
 import java.util.List;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
 import org.dotterelcourse.daemon.kernel.ServiceName;
@@ -34,7 +35,7 @@
 
     private final Clock clock;
     private final String file;
-    private final ObjectMapper json = new ObjectMapper();
+    private final JsonFactory json = new JsonFactory();
     private final Deque<AuditEvent> events = new ArrayDeque<>();
     private long lastSequence;
 
@@ -111,11 +112,21 @@
     }
 
     private String line(AuditEvent event) {
-        try {
-            return json.writeValueAsString(event);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a record of strings and numbers can't be written as JSON", e);
+        StringWriter line = new StringWriter();
+        try (JsonGenerator object = json.createGenerator(line)) {
+            object.writeStartObject();
+            object.writeNumberField("sequence", event.sequence());
+            object.writeNumberField("atMillis", event.atMillis());
+            object.writeStringField("kind", event.kind().name());
+            object.writeStringField("subject", event.subject());
+            object.writeStringField("cause", event.cause());
+            object.writeStringField("before", event.before());
+            object.writeStringField("after", event.after());
+            object.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException("a line in memory can't be written", e);
         }
+        return line.toString();
     }
 
     /** A full or lost disk must not stop the daemon: the event is in the log and in memory all the same. */
