Time between two calls to the store follows the deployment's bound on changes

Cause: the whole large fleet made 384 calls until traffic began, 95 of them its first reads; while 79 workers started, each of them ended a call after 60 ms. Hypothesis: a twentieth of the bound (100 ms at two seconds, 200 ms at four) gathers more changes into one call, and still leaves a follower's word fresh (test).

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StoreDuty.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StoreDuty.java
@@ -27,10 +27,13 @@
      * Parts of the time within which changes must be in force. A call waits for half of it. What is heard of a follower
      * counts for three quarters: its last answer may be as old as a call, and the word of that travels for some
      * 0.3 s. A step between groups is a fortieth, so that the seventh group, the last one of 250 processes, still begins in
-     * time; while somebody follows there is no hurry, and the order is better known after an eighth.
+     * time; while somebody follows there is no hurry, and the order is better known after an eighth. Between two calls a
+     * twentieth passes, because changes come in groups and each group is then one call: while workers start or are
+     * replaced, each of them ends a call.
      */
     private static final int CALL_PART = 2;
 
+    private static final int GATHER_PART = 20;
     private static final int STEP_PART = 40;
     private static final int CALM_STEP_PART = 8;
 
@@ -228,6 +231,15 @@
         return Duration.ofNanos(boundNanos / CALL_PART);
     }
 
+    /**
+     * How long to wait between two calls, so that changes that belong together come with one.
+     *
+     * @return the time
+     */
+    public Duration betweenCalls() {
+        return Duration.ofNanos(boundNanos / GATHER_PART);
+    }
+
     /**
      * How long to wait before a store that doesn't answer is asked again. Processes that fail at the same moment are
      * spread by their place in the order, and stay so.
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/StoreDutyTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/StoreDutyTest.java
@@ -82,6 +82,15 @@
                 .orElseThrow();
     }
 
+    // What a follower says of itself is as old as a whole call and the time between two calls, and has been under way
+    // for
+    // three periods of reports, when the next one comes. If that were too old, others would begin to follow all day.
+    @Test
+    void theWordOfAFollowerThatOnlyWaitsDoesNotRunOut() {
+        long oldest = duty.longestCall().plus(duty.betweenCalls()).toMillis() + 300;
+        assertThat(oldest).isLessThan(FRESH_MILLIS);
+    }
+
     // Changes get lost on a connection between two processes that has gone silent, while reports still come.
     @Test
     void aProcessThatStaysBehindFollowsByItself() {
