--- a/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/log/JsonLineHandlerTest.java
+++ b/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/log/JsonLineHandlerTest.java
@@ -4,11 +4,13 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.List;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.jboss.logging.MDC;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -50,6 +52,27 @@
                 .contains("JsonLineHandlerTest");
     }
 
+    // A client asks what became of its request, and the operator searches the logs for its id. It stands in the context
+    // of
+    // the line, and a line without its context tells nobody anything.
+    @Test
+    void whatTheThreadHasSaidOfItsWorkIsTold() throws IOException {
+        MDC.put("request", "id-1");
+        MDC.put("status", 503);
+        try {
+            handler.publish(entry("request ended"));
+        } finally {
+            MDC.clear();
+        }
+        handler.publish(entry("another"));
+
+        List<String> lines = output.toString(StandardCharsets.UTF_8).lines().toList();
+        JsonNode context = new ObjectMapper().readTree(lines.get(0)).path("mdc");
+        assertThat(context.path("request").asText()).isEqualTo("id-1");
+        assertThat(context.path("status").asText()).isEqualTo("503");
+        assertThat(new ObjectMapper().readTree(lines.get(1)).has("mdc")).isFalse();
+    }
+
     private static LogRecord entry(String message) {
         LogRecord entry = new LogRecord(Level.WARNING, message);
         entry.setLoggerName("a.logger");
