--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StoreDuty.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StoreDuty.java
@@ -23,19 +23,29 @@
 public final class StoreDuty {
     private static final long MILLISECOND = 1_000_000L;
 
+    /** A call waits for half of the time within which changes must be in force, so that a silent one is noticed in it. */
+    private static final double CALL_PART = 0.5;
+
+    /**
+     * Between two calls this part of that time passes: changes come in groups, and each group is then one call. While
+     * workers start or are replaced, each of them would end a call.
+     */
+    private static final double GATHER_PART = 0.05;
+
+    /**
+     * What is heard of a follower counts for this part: its last answer may be as old as a call and the time between two,
+     * and the word of it travels for up to 0.3 s.
+     */
+    private static final double FRESH_PART = 0.75;
+
     /**
-     * Parts of the time within which changes must be in force. A call waits for half of it. What is heard of a follower
-     * counts for three quarters: its last answer may be as old as a call, and the word of that travels for some
-     * 0.3 s. A step between groups is a fortieth, so that the seventh group, the last one of 250 processes, still begins in
-     * time; while somebody follows there is no hurry, and the order is better known after an eighth. Between two calls a
-     * twentieth passes, because changes come in groups and each group is then one call: while workers start or are
-     * replaced, each of them ends a call.
+     * Between groups that come into question while nobody follows: the seventh group, the last one of 250 processes, still
+     * begins within the time.
      */
-    private static final int CALL_PART = 2;
+    private static final double STEP_PART = 0.025;
 
-    private static final int GATHER_PART = 20;
-    private static final int STEP_PART = 40;
-    private static final int CALM_STEP_PART = 8;
+    /** The same while somebody follows, or before any peer was heard: there is no hurry, and peers will be heard of. */
+    private static final double CALM_STEP_PART = 0.125;
 
     /** How long a process may stay behind: asking a peer takes a few milliseconds and is tried first. */
     private static final long BEHIND_NANOS = 400 * MILLISECOND;
@@ -99,6 +109,7 @@
         for (int id : order) {
             ranks.putIfAbsent(id, ranks.size());
         }
+        heard.keySet().retainAll(ranks.keySet());
     }
 
     /**
@@ -106,7 +117,7 @@
      *
      * <p>The first word of an answer counts. A later one of the same answer has been longer on its way, in a busy process
      * by tens of milliseconds, and would make it look younger; with ten reports a second to and fro, the word of a process
-     * that is gone would live much longer than it may.
+     * that is gone would live much longer than it may. So words are also kept when they are too old to count.
      *
      * @param follower what the peer said
      * @param nowNanos the time
@@ -167,18 +178,22 @@
      * @return false if others do
      */
     public boolean mustFollow(long nowNanos) {
-        heard.values().removeIf(word -> !fresh(word, nowNanos));
         int own = rank();
-        long before = heard.keySet().stream()
-                .filter(id -> ranks.getOrDefault(id, Integer.MAX_VALUE) < own)
-                .count();
+        int following = 0;
+        int before = 0;
+        for (Map.Entry<Integer, Word> each : heard.entrySet()) {
+            if (fresh(each.getValue(), nowNanos)) {
+                following++;
+                before += ranks.getOrDefault(each.getKey(), Integer.MAX_VALUE) < own ? 1 : 0;
+            }
+        }
         boolean lacking = before < wanted;
         if (lacking && !uncovered) {
             uncoveredNanos = nowNanos;
         }
         uncovered = lacking;
         boolean lost = behind && nowNanos - behindNanos > BEHIND_NANOS;
-        return lost || lacking && (follows || nowNanos - uncoveredNanos >= turnNanos(own));
+        return lost || lacking && (follows || nowNanos - uncoveredNanos >= turnNanos(own, following > 0));
     }
 
     private int rank() {
@@ -186,14 +201,16 @@
     }
 
     /** How long after too few are known to follow a process's turn comes. */
-    private long turnNanos(int rank) {
+    private long turnNanos(int rank, boolean anybodyFollows) {
         if (!met) {
-            // It has just started, and those that follow will be heard of; with a whole fleet that starts there are
-            // none.
-            return boundNanos / CALM_STEP_PART;
+            return part(CALM_STEP_PART);
         }
         int group = Integer.SIZE - Integer.numberOfLeadingZeros(rank / wanted);
-        return group * (boundNanos / (heard.isEmpty() ? STEP_PART : CALM_STEP_PART));
+        return group * part(anybodyFollows ? CALM_STEP_PART : STEP_PART);
+    }
+
+    private long part(double part) {
+        return (long) (part * boundNanos);
     }
 
     /**
@@ -219,7 +236,7 @@
     }
 
     private boolean fresh(Word word, long nowNanos) {
-        return nowNanos - word.atNanos() < boundNanos - boundNanos / 4;
+        return nowNanos - word.atNanos() < part(FRESH_PART);
     }
 
     /**
@@ -228,7 +245,7 @@
      * @return the time
      */
     public Duration longestCall() {
-        return Duration.ofNanos(boundNanos / CALL_PART);
+        return Duration.ofNanos(part(CALL_PART));
     }
 
     /**
@@ -237,7 +254,7 @@
      * @return the time
      */
     public Duration betweenCalls() {
-        return Duration.ofNanos(boundNanos / GATHER_PART);
+        return Duration.ofNanos(part(GATHER_PART));
     }
 
     /**
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/StoreDutyTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/StoreDutyTest.java
@@ -169,6 +169,9 @@
             duty.heard(new StoreDuty.Follower(0, 5, millis - 50), millis * MILLISECOND);
         }
         assertThat(duty.followers(FRESH_MILLIS * MILLISECOND)).isEmpty();
+        duty.mustFollow(FRESH_MILLIS * MILLISECOND);
+        duty.heard(new StoreDuty.Follower(0, 5, FRESH_MILLIS - 50), FRESH_MILLIS * MILLISECOND);
+        assertThat(duty.followers(FRESH_MILLIS * MILLISECOND)).isEmpty();
     }
 
     @Test
