Data centres that are evacuated: their workers get nothing until they are taken back

Ruled out: that the fleet hears of it too late. All items of the store pass through the relay already; the item was only never decoded.

An evacuated data centre is a set beside the workers, so it holds for workers that are published later, and for every use of a worker: first attempts, repeats, resumptions, fetches of parts. What runs there ends by itself. The bound is a setting of its own, which counts among the times that decide how long the store's calls wait.

--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.configuration;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +15,8 @@
     private static final Map<String, List<String>> KEYS = keys();
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final Value<Double> SECONDS = Value.decimal(0.001, 86_400);
-    private static final Value<Double> MILLIS = Value.decimal(100, 3_600_000);
+    private static final double LONGEST_MILLIS = 3_600_000;
+    private static final Value<Double> MILLIS = Value.decimal(100, LONGEST_MILLIS);
     /** The shortest time that deployments ask for. */
     private static final double CHANGES_WITHIN = 2_000;
 
@@ -44,9 +46,10 @@
                 listen.required("addresses", Value.ADDRESS),
                 listen.required("peers", Value.ADDRESS),
                 platform.required("store", Value.ADDRESS),
-                shorter(
+                shortest(
                         platform.optional("configuration-milliseconds", MILLIS, CHANGES_WITHIN),
-                        platform.optional("leaving-milliseconds", MILLIS, CHANGES_WITHIN)),
+                        platform.optional("leaving-milliseconds", MILLIS, CHANGES_WITHIN),
+                        platform.optional("evacuation-milliseconds", MILLIS, LONGEST_MILLIS)),
                 platform.optional("seeds", Value.ADDRESSES, List.of()),
                 repeats.required("ratio", COUNT),
                 repeats.required("extra", COUNT),
@@ -58,15 +61,22 @@
         return Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
     }
 
-    private static Duration shorter(double first, double second) {
-        return Duration.ofMillis(Math.round(Math.min(first, second)));
+    private static Duration shortest(double... millis) {
+        return Duration.ofMillis(Math.round(Arrays.stream(millis).min().orElseThrow()));
     }
 
     private static Map<String, List<String>> keys() {
         Map<String, List<String>> keys = new LinkedHashMap<>();
         keys.put(DAEMON, List.of("name", "data-centre", "region", "grace-seconds"));
         keys.put(LISTEN, List.of("clients", "readiness", "addresses", "peers"));
-        keys.put(PLATFORM, List.of("store", "configuration-milliseconds", "leaving-milliseconds", "seeds"));
+        keys.put(
+                PLATFORM,
+                List.of(
+                        "store",
+                        "configuration-milliseconds",
+                        "leaving-milliseconds",
+                        "evacuation-milliseconds",
+                        "seeds"));
         keys.put(REPEATS, List.of("ratio", "extra", "window-seconds"));
         return keys;
     }
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
@@ -46,6 +46,19 @@
         });
     }
 
+    // An evacuation may have to be in force sooner than a configuration; a deployment without any asks for no time of
+    // its
+    // own.
+    @Test
+    void theShortestOfTheTimesGivenIsTheOneForAllChanges() {
+        String text = RIGHT.replace("seeds =", "evacuation-milliseconds = 2500\nseeds =");
+        assertThat(reader.read("f", text))
+                .isInstanceOfSatisfying(
+                        Checked.Valid.class,
+                        valid -> assertThat(((GatewaySettings) valid.value()).changesWithin())
+                                .isEqualTo(Duration.ofMillis(2_500)));
+    }
+
     @Test
     void takesTheShortestTimeForChangesWhereNoneIsGiven() {
         String text =
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
@@ -23,6 +23,8 @@
         OWNERSHIP,
         /** A worker of an upstream. */
         UPSTREAM,
+        /** A data centre whose workers are to get nothing. */
+        EVACUATION,
         /** A shutdown. */
         DRAINING,
         /** An order to an engine. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -123,6 +123,20 @@
                 .ifPresent(entry -> audit.add(AuditEvent.Kind.UPSTREAM, id, "published", describe(entry), "gone"));
     }
 
+    /**
+     * A data centre is evacuated, or taken back.
+     *
+     * @param dataCentre its name
+     * @param evacuated whether its workers get nothing more
+     */
+    public void evacuation(String dataCentre, boolean evacuated) {
+        boolean changed = evacuated ? workers.evacuated(dataCentre) : workers.takenBack(dataCentre);
+        if (changed) {
+            String now = evacuated ? "evacuated" : "in use";
+            audit.add(AuditEvent.Kind.EVACUATION, dataCentre, "published", evacuated ? "in use" : "evacuated", now);
+        }
+    }
+
     /** Every published worker has been read once. */
     public void workersKnown() {
         workersKnown = true;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/ItemDecoder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/ItemDecoder.java
@@ -6,8 +6,9 @@
      * An item was published, changed or deleted.
      *
      * @param item its newest state
+     * @param nowNanos the time on the monotonic clock
      */
-    void changed(PublishedItem item);
+    void changed(PublishedItem item, long nowNanos);
 
     /**
      * Whether an item's deletion may be undone shortly after the store has come back.
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
@@ -191,7 +191,7 @@
             if (item.deleted() && heldNanos > 0 && decoder.renewed(item.key())) {
                 loop.after(heldNanos / NANOS_PER_MILLI + 1, () -> deleteUnlessBack(item));
             } else {
-                decoder.changed(item);
+                decoder.changed(item, loop.nowNanos());
             }
         }
     }
@@ -199,7 +199,7 @@
     private void deleteUnlessBack(PublishedItem item) {
         boolean back = items.live().stream().anyMatch(live -> live.key().equals(item.key()));
         if (!back) {
-            decoder.changed(item);
+            decoder.changed(item, loop.nowNanos());
         }
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -33,6 +33,7 @@
     /** By address, the worker that was the last to start there. Made anew when the workers have changed. */
     private final Map<String, WorkerState> holders = new HashMap<>();
 
+    private final Set<String> evacuated = new HashSet<>();
     private boolean holdersKnown;
     private Predicate<String> upstreamKnown = upstream -> true;
     private long nextOrder;
@@ -68,6 +69,27 @@
         holdersKnown = false;
     }
 
+    /**
+     * A data centre is evacuated: its workers get nothing more, whichever upstream they serve. What is in flight there
+     * ends by itself.
+     *
+     * @param dataCentre its name
+     * @return whether it was not before
+     */
+    public boolean evacuated(String dataCentre) {
+        return evacuated.add(dataCentre);
+    }
+
+    /**
+     * An evacuated data centre is taken back.
+     *
+     * @param dataCentre its name
+     * @return whether it was evacuated
+     */
+    public boolean takenBack(String dataCentre) {
+        return evacuated.remove(dataCentre);
+    }
+
     /**
      * A worker is no longer published. What is in flight there goes on.
      *
@@ -113,16 +135,14 @@
      * @param upstream the upstream
      * @param except workers that had it already
      * @param nowNanos the time
-     * @return their loads, without those that are leaving
+     * @return their loads, without those that are leaving and those of evacuated data centres
      */
     public List<WorkerLoad> candidates(String upstream, Set<String> except, long nowNanos) {
         refresh(nowNanos);
         List<WorkerState> serving = new ArrayList<>();
         Set<WorkerState> suspects = new HashSet<>();
         for (WorkerState worker : byId.values()) {
-            boolean serves = worker.entry().upstream().equals(upstream)
-                    && !worker.entry().leaving();
-            if (serves && !displaced(worker)) {
+            if (worker.entry().upstream().equals(upstream) && mayServe(worker)) {
                 serving.add(worker);
                 if (worker.suspectedByAll(nowNanos)) {
                     suspects.add(worker);
@@ -136,6 +156,11 @@
                 .toList();
     }
 
+    private boolean mayServe(WorkerState worker) {
+        WorkerEntry entry = worker.entry();
+        return !entry.leaving() && !evacuated.contains(entry.dataCentre()) && !displaced(worker);
+    }
+
     /**
      * A peer has said what it knows of the workers.
      *
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
@@ -93,6 +93,26 @@
         assertThat(ids()).containsExactly("a");
     }
 
+    // Operators evacuate two data centres, one after the other, while workers start there. None of their workers may
+    // get
+    // anything before its own data centre is taken back.
+    @Test
+    void workersOfEvacuatedDataCentresAreNoCandidates() {
+        workers.published(entry("a", 1, false));
+        workers.published(in("b", 2, "dc-b"));
+        workers.evacuated("dc-b");
+        workers.evacuated("dc-c");
+        workers.published(in("c", 3, "dc-c"));
+        workers.published(in("b", 2, "dc-b"));
+        assertThat(ids()).containsExactly("a");
+        workers.takenBack("dc-b");
+        assertThat(ids()).containsExactly("a", "b");
+        workers.evacuated("dc-b");
+        assertThat(ids()).containsExactly("a");
+        workers.takenBack("dc-c");
+        assertThat(ids()).containsExactly("a", "c");
+    }
+
     @Test
     void whatPeersHaveInFlightIsAddedUntilTheyGoSilent() {
         workers.published(entry("a", 1, false));
@@ -197,7 +217,14 @@
     }
 
     private List<String> ids() {
-        return workers.candidates("u", Set.of(), 0).stream().map(WorkerLoad::id).toList();
+        return workers.candidates("u", Set.of(), 0).stream()
+                .map(WorkerLoad::id)
+                .sorted()
+                .toList();
+    }
+
+    private static WorkerEntry in(String id, int host, String dataCentre) {
+        return new WorkerEntry(id, 0, "u", "10.0.0." + host, 8000, dataCentre, 4, false);
     }
 
     private static WorkerEntry started(String id, long startMillis, String upstream) {
