Cold workers get no more than they bear, shared by the processes without a word between them

Cause: what workers say of their cold time was checked and thrown away, and what they bear (coldPerS, coldS of a service) was not read. Of workers that come back after a crash every process thinks the same, that they are idle, and sixty processes send before they hear of each other.

Now as many processes as the worker bears requests in a second may use it, by rendezvous hashing of its name over the fleet, each with its part of any sliding second. A worker is taken for cold by its own word; for its whole cold time after it could not be reached or broke a request; and when its data centre is taken back after an evacuation. Processes that are only meeting the fleet use none. A closed worker keeps its place among the others, so that all processes agree on homes of parts.

Weighed: equal parts for all processes (5.9 / 60 a second each, one request in ten seconds): their requests meet by chance in one second, about a Poisson count of mean 5.9, above 13 in 3 of 1,000 seconds of each worker; so not built.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -95,7 +95,7 @@
             return;
         }
         table = next;
-        workers.upstreams(next::hasUpstream);
+        workers.upstreams(next::hasUpstream, upstream -> next.upstream(upstream).coldStart());
         audit.add(AuditEvent.Kind.CONFIGURATION, "routing", "published", "" + before, "" + next.number());
     }
 
@@ -103,11 +103,12 @@
      * A worker is published or has changed.
      *
      * @param entry the worker
+     * @param nowNanos the time
      */
-    public void publish(WorkerEntry entry) {
+    public void publish(WorkerEntry entry, long nowNanos) {
         String before =
                 workers.find(entry.id()).map(known -> describe(known.entry())).orElse("");
-        workers.published(entry);
+        workers.published(entry, nowNanos);
         if (!before.equals(describe(entry))) {
             audit.add(AuditEvent.Kind.UPSTREAM, entry.id(), "published", before, describe(entry));
         }
@@ -128,9 +129,10 @@
      *
      * @param dataCentre its name
      * @param evacuated whether its workers get nothing more
+     * @param nowNanos the time
      */
-    public void evacuation(String dataCentre, boolean evacuated) {
-        boolean changed = evacuated ? workers.evacuated(dataCentre) : workers.takenBack(dataCentre);
+    public void evacuation(String dataCentre, boolean evacuated, long nowNanos) {
+        boolean changed = evacuated ? workers.evacuated(dataCentre) : workers.takenBack(dataCentre, nowNanos);
         if (changed) {
             String now = evacuated ? "evacuated" : "in use";
             audit.add(AuditEvent.Kind.EVACUATION, dataCentre, "published", evacuated ? "in use" : "evacuated", now);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -87,6 +87,10 @@
     private PeerTransport transport;
     private List<Member> planned = List.of();
     private CollectorPlan plan;
+
+    /** Names of the other processes that are not known to be dead. */
+    private List<String> others = List.of();
+
     private final List<CachedPrefixes.Place> reportedPlaces = new ArrayList<>();
     private final List<CachedPrefixes.Place> gatheredPlaces = new ArrayList<>();
     private String collector = "";
@@ -137,15 +141,16 @@
                             id(peers.self()),
                             plan.readingOrder().stream().map(FleetExchange::id).toList(),
                             plan.readers());
+            others = view.stream().filter(this::isOther).map(Member::name).toList();
+            state.workers().fleet(peers.self(), others, now);
         }
-        int others = (int) view.stream().filter(this::isOther).count();
-        state.processes(others + 1);
+        state.processes(others.size() + 1);
         if (plan.direct()) {
             tellAll(now);
         } else {
             tellByPlan(now);
         }
-        long period = Math.max(DIRECT_PERIOD_MILLIS, MILLIS_PER_PEER * others);
+        long period = Math.max(DIRECT_PERIOD_MILLIS, MILLIS_PER_PEER * others.size());
         loop.atNext(plan.direct() ? period : PERIOD_MILLIS, this::tell);
     }
 
@@ -199,9 +204,9 @@
         }
         places.addAll(gatheredPlaces);
         for (String reporter : reporters.keySet()) {
-            Map<Integer, PeerLoads.Load> others = state.workers().othersOf(reporter, now);
-            if (due(reporter, others, places, now)) {
-                send(reporter, report(FleetProtos.LoadReport.Kind.OTHERS, others, reporter, places, now));
+            Map<Integer, PeerLoads.Load> sum = state.workers().othersOf(reporter, now);
+            if (due(reporter, sum, places, now)) {
+                send(reporter, report(FleetProtos.LoadReport.Kind.OTHERS, sum, reporter, places, now));
             }
         }
         lastTold.keySet().removeIf(receiver -> !reporters.containsKey(receiver) && !GROUPS.contains(receiver));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
@@ -82,7 +82,7 @@
     int room(Call call, long nowNanos) {
         int most = mostStreams(call);
         return state.workers().candidates(call.terms().upstream().name(), call.tried(), nowNanos).stream()
-                .filter(engine -> !engine.suspected())
+                .filter(engine -> engine.open() && !engine.suspected())
                 .mapToInt(engine -> Math.max(0, Math.min(most, engine.slots()) - engine.inFlight()))
                 .sum();
     }
@@ -113,7 +113,7 @@
 
     private Outcome plain(Call call, WorkerState worker, long nowNanos) {
         call.sending(worker.entry().id(), nowNanos);
-        return new Outcome.Placed(state.workers().place(worker, false, 0), "");
+        return new Outcome.Placed(state.workers().place(worker, false, 0, nowNanos), "");
     }
 
     private Outcome engine(Call call, WorkerState worker, Choice.Engine engine, long nowNanos) {
@@ -129,7 +129,7 @@
                 .map(source -> source.entry().address())
                 .orElse("");
         boolean interactive = prompt.pace() == Pace.SHORT_PAUSES;
-        return new Outcome.Placed(state.workers().place(worker, interactive, prefill), fetchFrom);
+        return new Outcome.Placed(state.workers().place(worker, interactive, prefill, nowNanos), fetchFrom);
     }
 
     private EngineSplit split(Call call) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
-import org.dotterelcourse.policy.selection.Transfer;
+import org.dotterelcourse.policy.cold.ColdStart;
 
 /** One published configuration. Immutable; of two tables the one with the higher number is the newer. */
 public final class RoutingTable {
@@ -88,7 +88,7 @@
      * @return the upstream; a plain service if nothing was published of it
      */
     public UpstreamSpec upstream(String name) {
-        return upstreams.getOrDefault(name, new UpstreamSpec(name, false, 0, Transfer.none()));
+        return upstreams.getOrDefault(name, UpstreamSpec.plain(name, ColdStart.none()));
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/UpstreamSpec.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/UpstreamSpec.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.routing;
 
+import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.selection.Transfer;
 
 /**
@@ -9,5 +10,17 @@
  * @param engine whether its workers are model engines
  * @param tokensPerEvent how many tokens an engine puts into one event, 0 for plain services
  * @param transfer what it takes an engine to fetch parts of prompts from another one
+ * @param coldStart what its workers bear while they are cold
  */
-public record UpstreamSpec(String name, boolean engine, int tokensPerEvent, Transfer transfer) {}
+public record UpstreamSpec(String name, boolean engine, int tokensPerEvent, Transfer transfer, ColdStart coldStart) {
+    /**
+     * An upstream of plain services.
+     *
+     * @param name its name
+     * @param coldStart what its workers bear while they are cold
+     * @return the upstream
+     */
+    public static UpstreamSpec plain(String name, ColdStart coldStart) {
+        return new UpstreamSpec(name, false, 0, Transfer.none(), coldStart);
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
@@ -8,11 +8,11 @@
     private boolean started;
     private boolean ended;
 
-    Placement(WorkerState worker, boolean interactive, double prefillMillis) {
+    Placement(WorkerState worker, boolean interactive, double prefillMillis, long nowNanos) {
         this.worker = worker;
         this.interactive = interactive;
         this.prefillMillis = prefillMillis;
-        worker.begin(interactive, prefillMillis);
+        worker.begin(interactive, prefillMillis, nowNanos);
     }
 
     /**
@@ -57,6 +57,7 @@
      * @param nowNanos the time
      */
     public void notReached(long nowNanos) {
+        worker.coldPeriod().assume(nowNanos);
         worker.trust().notReached(nowNanos);
         worker.outcomes().failed(nowNanos);
     }
@@ -87,6 +88,7 @@
      * @param nowNanos the time
      */
     public void failed(long nowNanos) {
+        worker.coldPeriod().assume(nowNanos);
         worker.trust().failed(nowNanos);
         worker.outcomes().failed(nowNanos);
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
@@ -13,6 +13,7 @@
  * @param dataCentre where it stands
  * @param slots how many requests it runs at once
  * @param leaving whether it takes no new work
+ * @param coldMillis how much longer it stays cold, by its own word; 0 if it is not
  */
 public record WorkerEntry(
         String id,
@@ -22,7 +23,8 @@
         int port,
         String dataCentre,
         int slots,
-        boolean leaving) {
+        boolean leaving,
+        long coldMillis) {
     /**
      * Where it listens.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -1,13 +1,20 @@
 package org.dotterelcourse.gateway.workers;
 
+import org.dotterelcourse.policy.cold.ColdPeriod;
+import org.dotterelcourse.policy.cold.ColdShare;
+import org.dotterelcourse.policy.cold.ColdStart;
+import org.dotterelcourse.policy.cold.SentWindow;
 import org.dotterelcourse.policy.repeat.RecentOutcomes;
 import org.dotterelcourse.policy.repeat.WorkerTrust;
+import org.dotterelcourse.policy.selection.ColdState;
 import org.dotterelcourse.policy.selection.WorkerLoad;
 
 /** One worker with what this process and its peers have there. Used on the gateway's loop only. */
 public final class WorkerState {
     private final WorkerTrust trust = new WorkerTrust();
     private final RecentOutcomes outcomes = new RecentOutcomes();
+    private final ColdPeriod coldPeriod = new ColdPeriod();
+    private final SentWindow sentWhileCold = new SentWindow();
     private final int incarnation;
     private final long order;
     private WorkerEntry entry;
@@ -73,6 +80,20 @@
                 outcomes.failedLately(nowNanos));
     }
 
+    ColdPeriod coldPeriod() {
+        return coldPeriod;
+    }
+
+    /** Whether it is cold, and whether this process may send it a request now. */
+    ColdState coldState(ColdStart coldStart, ColdHolders holders, long nowNanos) {
+        if (!coldPeriod.cold(coldStart, nowNanos)) {
+            return ColdState.WARM;
+        }
+        ColdShare share = ColdShare.of(coldStart.perSecond(), holders.processes());
+        boolean open = holders.holds(entry.id(), share.holders(), nowNanos) && sentWhileCold.open(share, nowNanos);
+        return open ? ColdState.COLD : ColdState.CLOSED;
+    }
+
     /** Whether all processes together have seen it fail too often. */
     boolean suspectedByAll(long nowNanos) {
         return RecentOutcomes.suspicious(
@@ -80,7 +101,8 @@
                 outcomes.failedLately(nowNanos) + others.failed());
     }
 
-    void begin(boolean isInteractive, double prefill) {
+    void begin(boolean isInteractive, double prefill, long nowNanos) {
+        sentWhileCold.sent(nowNanos);
         inFlight++;
         interactive += isInteractive ? 1 : 0;
         prefillMillis += prefill;
@@ -98,7 +120,7 @@
         }
     }
 
-    WorkerLoad load(long nowNanos, boolean suspectedByAll) {
+    WorkerLoad load(long nowNanos, boolean suspectedByAll, ColdState coldState) {
         return new WorkerLoad(
                 entry.id(),
                 incarnation,
@@ -108,6 +130,7 @@
                 inFlight + others.inFlight(),
                 interactive + others.interactive(),
                 prefillMillis + others.prefillMillis(),
-                suspectedByAll || trust.suspected(nowNanos));
+                suspectedByAll || trust.suspected(nowNanos),
+                coldState);
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 
+import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.selection.WorkerLoad;
 
 /** All known workers. Used on the gateway's loop only. */
@@ -36,6 +38,8 @@
     private final Set<String> evacuated = new HashSet<>();
     private boolean holdersKnown;
     private Predicate<String> upstreamKnown = upstream -> true;
+    private Function<String, ColdStart> coldStarts = upstream -> ColdStart.none();
+    private final ColdHolders coldHolders = new ColdHolders();
     private long nextOrder;
 
     /**
@@ -44,28 +48,34 @@
      * process's. What is published late of an earlier start changes nothing.
      *
      * @param entry the worker
+     * @param nowNanos the time
      */
-    public void published(WorkerEntry entry) {
+    public void published(WorkerEntry entry, long nowNanos) {
         WorkerState known = byId.get(entry.id());
         if (known != null && entry.startMillis() < known.entry().startMillis()) {
             return;
         }
         holdersKnown = false;
+        WorkerState current = known;
         if (known != null && entry.incarnation() == known.incarnation()) {
             known.entry(entry);
         } else {
-            byId.put(entry.id(), new WorkerState(entry, nextOrder++));
+            current = new WorkerState(entry, nextOrder++);
+            byId.put(entry.id(), current);
             changed = true;
         }
+        current.coldPeriod().told(entry.coldMillis(), nowNanos);
     }
 
     /**
      * Tells which upstreams exist.
      *
      * @param known whether an upstream of a name does
+     * @param bear what the workers of an upstream bear while they are cold, by its name
      */
-    public void upstreams(Predicate<String> known) {
+    public void upstreams(Predicate<String> known, Function<String, ColdStart> bear) {
         upstreamKnown = known;
+        coldStarts = bear;
         holdersKnown = false;
     }
 
@@ -81,15 +91,30 @@
     }
 
     /**
-     * An evacuated data centre is taken back.
+     * An evacuated data centre is taken back. Its workers are taken for cold.
      *
      * @param dataCentre its name
+     * @param nowNanos the time
      * @return whether it was evacuated
      */
-    public boolean takenBack(String dataCentre) {
+    public boolean takenBack(String dataCentre, long nowNanos) {
+        byId.values().stream()
+                .filter(each -> each.entry().dataCentre().equals(dataCentre))
+                .forEach(each -> each.coldPeriod().assume(nowNanos));
         return evacuated.remove(dataCentre);
     }
 
+    /**
+     * The members of the fleet are known; they share what cold workers bear.
+     *
+     * @param self this process's name
+     * @param others the others' that are not known to be dead
+     * @param nowNanos the time
+     */
+    public void fleet(String self, List<String> others, long nowNanos) {
+        coldHolders.fleet(self, others, nowNanos);
+    }
+
     /**
      * A worker is no longer published. What is in flight there goes on.
      *
@@ -149,10 +174,12 @@
                 }
             }
         }
+        ColdStart coldStart = coldStarts.apply(upstream);
         boolean few = suspects.size() <= MOST_SUSPECTED * serving.size();
         return serving.stream()
                 .filter(worker -> !except.contains(worker.entry().id()))
-                .map(worker -> worker.load(nowNanos, few && suspects.contains(worker)))
+                .map(worker -> worker.load(
+                        nowNanos, few && suspects.contains(worker), worker.coldState(coldStart, coldHolders, nowNanos)))
                 .toList();
     }
 
@@ -234,9 +261,10 @@
      * @param worker the worker
      * @param interactive whether the pauses of its answer must be short
      * @param prefillMillis estimated work until its first event
+     * @param nowNanos the time
      * @return to be told how it goes on
      */
-    public Placement place(WorkerState worker, boolean interactive, double prefillMillis) {
-        return new Placement(worker, interactive, prefillMillis);
+    public Placement place(WorkerState worker, boolean interactive, double prefillMillis, long nowNanos) {
+        return new Placement(worker, interactive, prefillMillis, nowNanos);
     }
 }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.selection.WorkerLoad;
 import org.junit.jupiter.api.Test;
 
@@ -18,10 +19,10 @@
     // that is meant for the old name is refused by the new one.
     @Test
     void aWorkerAtAnAddressReplacesTheOneThatWasThere() {
-        workers.published(entry("old", 1, false));
-        workers.published(entry("new", 1, false));
+        publish(entry("old", 1, false));
+        publish(entry("new", 1, false));
         assertThat(ids()).containsExactly("new");
-        workers.published(entry("old", 1, true));
+        publish(entry("old", 1, true));
         assertThat(ids()).containsExactly("new");
         workers.gone("old");
         assertThat(ids()).containsExactly("new");
@@ -31,8 +32,8 @@
     // would all be refused.
     @Test
     void ofTwoWorkersAtAnAddressTheOneThatStartedLastIsUsed() {
-        workers.published(started("new", 2_000, "u"));
-        workers.published(started("old", 1_000, "u"));
+        publish(started("new", 2_000, "u"));
+        publish(started("old", 1_000, "u"));
         assertThat(ids()).containsExactly("new");
     }
 
@@ -40,11 +41,11 @@
     // is there as before, and must go on getting requests.
     @Test
     void anEntryOfAnUnknownUpstreamTakesNoWorkersAddress() {
-        workers.upstreams("u"::equals);
-        workers.published(started("a", 1_000, "u"));
-        workers.published(started("stray", 2_000, "nobody's"));
+        workers.upstreams("u"::equals, upstream -> ColdStart.none());
+        publish(started("a", 1_000, "u"));
+        publish(started("stray", 2_000, "nobody's"));
         assertThat(ids()).containsExactly("a");
-        workers.upstreams(upstream -> true);
+        workers.upstreams(upstream -> true, upstream -> ColdStart.none());
         assertThat(ids()).isEmpty();
     }
 
@@ -52,9 +53,9 @@
     // its failures; a process that still counted them would leave an idle worker alone for seconds.
     @Test
     void nothingThatWasKnownOfAWorkerHoldsAfterItHasStartedAgain() {
-        workers.published(started("a", 1_000, "u"));
+        publish(started("a", 1_000, "u"));
         WorkerState before = workers.find("a").orElseThrow();
-        Placement placement = workers.place(before, true, 50);
+        Placement placement = workers.place(before, true, 50, SECOND);
         placement.notReached(SECOND);
         int incarnation = before.incarnation();
         workers.peerLoad("p1", PeerLoads.Scope.OWN, Map.of(incarnation, new PeerLoads.Load(2, 1, 30, 0, 9)), SECOND);
@@ -62,7 +63,7 @@
         assertThat(load.inFlight()).isEqualTo(3);
         assertThat(load.suspected()).isTrue();
 
-        workers.published(started("a", 2_000, "u"));
+        publish(started("a", 2_000, "u"));
         load = workers.candidates("u", Set.of(), SECOND).get(0);
         assertThat(load.incarnation()).isNotEqualTo(incarnation);
         assertThat(load.inFlight()).isZero();
@@ -79,17 +80,17 @@
     // News of a worker's earlier start comes late, when the worker serves again. It must not bring back what was known.
     @Test
     void lateNewsOfAnEarlierStartChangesNothing() {
-        workers.published(started("a", 2_000, "u"));
+        publish(started("a", 2_000, "u"));
         WorkerState current = workers.find("a").orElseThrow();
-        workers.published(new WorkerEntry("a", 1_000, "u", "10.0.0.1", 8000, "dc", 4, true));
+        publish(new WorkerEntry("a", 1_000, "u", "10.0.0.1", 8000, "dc", 4, true, 0));
         assertThat(workers.find("a")).containsSame(current);
         assertThat(ids()).containsExactly("a");
     }
 
     @Test
     void aLeavingWorkerIsNoCandidate() {
-        workers.published(entry("a", 1, false));
-        workers.published(entry("b", 2, true));
+        publish(entry("a", 1, false));
+        publish(entry("b", 2, true));
         assertThat(ids()).containsExactly("a");
     }
 
@@ -98,24 +99,24 @@
     // anything before its own data centre is taken back.
     @Test
     void workersOfEvacuatedDataCentresAreNoCandidates() {
-        workers.published(entry("a", 1, false));
-        workers.published(in("b", 2, "dc-b"));
+        publish(entry("a", 1, false));
+        publish(in("b", 2, "dc-b"));
         workers.evacuated("dc-b");
         workers.evacuated("dc-c");
-        workers.published(in("c", 3, "dc-c"));
-        workers.published(in("b", 2, "dc-b"));
+        publish(in("c", 3, "dc-c"));
+        publish(in("b", 2, "dc-b"));
         assertThat(ids()).containsExactly("a");
-        workers.takenBack("dc-b");
+        workers.takenBack("dc-b", SECOND);
         assertThat(ids()).containsExactly("a", "b");
         workers.evacuated("dc-b");
         assertThat(ids()).containsExactly("a");
-        workers.takenBack("dc-c");
+        workers.takenBack("dc-c", SECOND);
         assertThat(ids()).containsExactly("a", "c");
     }
 
     @Test
     void whatPeersHaveInFlightIsAddedUntilTheyGoSilent() {
-        workers.published(entry("a", 1, false));
+        publish(entry("a", 1, false));
         told("p1", PeerLoads.Scope.OWN, new PeerLoads.Load(2, 1, 30, 0, 0), SECOND);
         told("p2", PeerLoads.Scope.OWN, new PeerLoads.Load(3, 0, 10, 0, 0), SECOND);
         WorkerLoad load = workers.candidates("u", Set.of(), SECOND).get(0);
@@ -131,7 +132,7 @@
     // not stand for ever, or their workers would get nothing.
     @Test
     void whatSilentPeersSaidRunsOutThoughNobodyTellsAnything() {
-        workers.published(entry("a", 1, false));
+        publish(entry("a", 1, false));
         told("p1", PeerLoads.Scope.OWN, new PeerLoads.Load(2, 1, 30, 0, 0), SECOND);
         assertThat(workers.candidates("u", Set.of(), SECOND).get(0).inFlight()).isEqualTo(2);
         assertThat(workers.candidates("u", Set.of(), 4 * SECOND).get(0).inFlight())
@@ -143,8 +144,8 @@
     // count twice, and a process would flee from the workers that it uses itself.
     @Test
     void aCollectorTellsEachReporterOfAllOthersAndItself() {
-        workers.published(entry("a", 1, false));
-        workers.place(workers.find("a").orElseThrow(), true, 50);
+        publish(entry("a", 1, false));
+        workers.place(workers.find("a").orElseThrow(), true, 50, SECOND);
         told("p1", PeerLoads.Scope.OWN, new PeerLoads.Load(2, 0, 10, 0, 0), SECOND);
         told("p2", PeerLoads.Scope.OWN, new PeerLoads.Load(4, 0, 20, 0, 0), SECOND);
         told("c2", PeerLoads.Scope.GATHERED, new PeerLoads.Load(8, 0, 40, 0, 0), SECOND);
@@ -155,7 +156,7 @@
     // A collector is killed and another one takes its place. Both sums hold the same requests.
     @Test
     void theSumOfANewCollectorReplacesTheLastOnes() {
-        workers.published(entry("a", 1, false));
+        publish(entry("a", 1, false));
         told("c1", PeerLoads.Scope.OTHERS, new PeerLoads.Load(9, 0, 0, 0, 0), SECOND);
         told("c2", PeerLoads.Scope.OTHERS, new PeerLoads.Load(8, 0, 0, 0, 0), SECOND);
         assertThat(workers.candidates("u", Set.of(), SECOND).get(0).inFlight()).isEqualTo(8);
@@ -186,9 +187,9 @@
 
     @Test
     void aPlacementCountsOnceHoweverOftenItEnds() {
-        workers.published(entry("a", 1, false));
+        publish(entry("a", 1, false));
         WorkerState worker = workers.find("a").orElseThrow();
-        Placement placement = workers.place(worker, true, 50);
+        Placement placement = workers.place(worker, true, 50, SECOND);
         assertThat(workers.own(0)).containsEntry("a".hashCode(), new PeerLoads.Load(1, 1, 50, 0, 0));
         placement.started();
         placement.started();
@@ -202,10 +203,14 @@
         workers.peerLoad(peer, scope, Map.of("a".hashCode(), load), nowNanos);
     }
 
+    private void publish(WorkerEntry entry) {
+        workers.published(entry, SECOND);
+    }
+
     private void publishFour() {
         int host = 1;
         for (String id : List.of("a", "b", "c", "d")) {
-            workers.published(entry(id, host++, false));
+            publish(entry(id, host++, false));
         }
     }
 
@@ -224,14 +229,14 @@
     }
 
     private static WorkerEntry in(String id, int host, String dataCentre) {
-        return new WorkerEntry(id, 0, "u", "10.0.0." + host, 8000, dataCentre, 4, false);
+        return new WorkerEntry(id, 0, "u", "10.0.0." + host, 8000, dataCentre, 4, false, 0);
     }
 
     private static WorkerEntry started(String id, long startMillis, String upstream) {
-        return new WorkerEntry(id, startMillis, upstream, "10.0.0.1", 8000, "dc", 4, false);
+        return new WorkerEntry(id, startMillis, upstream, "10.0.0.1", 8000, "dc", 4, false, 0);
     }
 
     private static WorkerEntry entry(String id, int host, boolean leaving) {
-        return new WorkerEntry(id, 0, "u", "10.0.0." + host, 8000, "dc", 4, leaving);
+        return new WorkerEntry(id, 0, "u", "10.0.0." + host, 8000, "dc", 4, leaving, 0);
     }
 }
--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cold/SentWindow.java
@@ -0,0 +1,41 @@
+package org.dotterelcourse.policy.cold;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * When this process sent one worker its last requests. Those from before it was known to be cold count as well: it may
+ * have been cold already when they came.
+ */
+public final class SentWindow {
+    /** The usual window. Of longer ones, which allow one request, only the last one need be known. */
+    private static final long KEPT_NANOS = 1_000_000_000L;
+
+    private final Deque<Long> sentNanos = new ArrayDeque<>();
+
+    /**
+     * Whether one more request may be sent.
+     *
+     * @param share what this process may send
+     * @param nowNanos the time
+     * @return false if the share of the window that ends now is used up
+     */
+    public boolean open(ColdShare share, long nowNanos) {
+        long inWindow = sentNanos.stream()
+                .filter(sent -> nowNanos - sent < share.windowNanos())
+                .count();
+        return inWindow < share.requests();
+    }
+
+    /**
+     * A request is sent.
+     *
+     * @param nowNanos the time
+     */
+    public void sent(long nowNanos) {
+        while (!sentNanos.isEmpty() && nowNanos - sentNanos.peekFirst() >= KEPT_NANOS) {
+            sentNanos.removeFirst();
+        }
+        sentNanos.addLast(nowNanos);
+    }
+}
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/LeastLoadedSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/LeastLoadedSelector.java
@@ -40,15 +40,15 @@
      * @param dataCentre the data centre of the process that sends the request
      * @param workers the workers that it may be sent to
      * @param nowNanos not used
-     * @return the worker's id; empty if all of them are full
+     * @return the worker's id; empty if all of them are full or closed
      */
     @Override
     public Optional<String> select(String dataCentre, List<WorkerLoad> workers, long nowNanos) {
-        boolean anySound = workers.stream().anyMatch(each -> !each.suspected());
+        boolean anySound = workers.stream().anyMatch(each -> each.open() && !each.suspected());
         String best = null;
         double least = Double.MAX_VALUE;
         for (WorkerLoad worker : workers) {
-            if (anySound && worker.suspected()) {
+            if (!worker.open() || anySound && worker.suspected()) {
                 continue;
             }
             double load = worker.inFlight() / (double) Math.max(1, worker.slots());
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
@@ -12,6 +12,8 @@
  * @param interactiveStreams those among them whose pauses between events must be short
  * @param prefillMillis estimated work of the prompts there that have no first event yet, in milliseconds
  * @param suspected whether it lately failed requests or connections and should be left out while others are there
+ * @param coldState whether it is cold; one that is closed gets nothing, but keeps its place among the others, since
+ *     processes may use different ones
  */
 public record WorkerLoad(
         String id,
@@ -22,4 +24,14 @@
         int inFlight,
         int interactiveStreams,
         double prefillMillis,
-        boolean suspected) {}
+        boolean suspected,
+        ColdState coldState) {
+    /**
+     * Whether it may get a request.
+     *
+     * @return false while it is cold and this process may send it nothing more
+     */
+    public boolean open() {
+        return coldState != ColdState.CLOSED;
+    }
+}
--- /dev/null
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/cold/ColdShareTest.java
@@ -0,0 +1,56 @@
+package org.dotterelcourse.policy.cold;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ColdShareTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    @Test
+    void asManyProcessesAsRequestsInASecondHoldAShare() {
+        assertThat(ColdShare.of(5.9, 60)).isEqualTo(new ColdShare(5, 1, SECOND));
+        assertThat(ColdShare.of(5.9, 2)).isEqualTo(new ColdShare(2, 2, SECOND));
+        assertThat(ColdShare.of(5.9, 1)).isEqualTo(new ColdShare(1, 5, SECOND));
+        assertThat(ColdShare.of(0.5, 60)).isEqualTo(new ColdShare(1, 1, 2 * SECOND));
+    }
+
+    @Property(seed = "20261203")
+    void theSharesAreNeverMoreThanAWorkerBears(
+            @ForAll @DoubleRange(min = 0.01, max = 1_000) double perSecond,
+            @ForAll @IntRange(min = 1, max = 400) int processes) {
+        ColdShare share = ColdShare.of(perSecond, processes);
+        assertThat(share.holders()).isBetween(1, processes);
+        assertThat(share.requests()).isPositive();
+        double most = share.holders() * share.requests() * (double) SECOND / share.windowNanos();
+        assertThat(most).isLessThanOrEqualTo(perSecond * 1.000001);
+    }
+
+    // A process sends as fast as it may. Whichever second one looks at, it holds no more than its share.
+    @Property(seed = "20261203")
+    void noWindowHoldsMoreThanAShare(
+            @ForAll @DoubleRange(min = 0.1, max = 20) double perSecond,
+            @ForAll @IntRange(min = 1, max = 40) int processes,
+            @ForAll @IntRange(min = 1, max = 400) int everyMillis) {
+        ColdShare share = ColdShare.of(perSecond, processes);
+        SentWindow window = new SentWindow();
+        List<Long> sent = new ArrayList<>();
+        for (long now = 0; now < 12 * SECOND; now += everyMillis * 1_000_000L) {
+            if (window.open(share, now)) {
+                window.sent(now);
+                sent.add(now);
+            }
+        }
+        assertThat(sent).isNotEmpty();
+        for (int i = 0; i + share.requests() < sent.size(); i++) {
+            assertThat(sent.get(i + share.requests()) - sent.get(i)).isGreaterThanOrEqualTo(share.windowNanos());
+        }
+    }
+}
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
@@ -227,6 +227,49 @@
                 .toList();
     }
 
+    // An engine is cold, and another process may send it a request where this one may not. Both must agree on the homes
+    // of
+    // all parts, and nothing may go to the engine from here.
+    @Test
+    void aClosedEngineGetsNothingAndKeepsItsPlaceAmongTheOthers() {
+        List<WorkerLoad> open = idle(9);
+        for (int i = 0; i < 40; i++) {
+            Prompt prompt = prompt("part-" + i, Pace.PATIENT);
+            String home =
+                    selector(1, new CachedPrefixes()).select(prompt, open, 0).orElseThrow();
+            String other = selector(1, new CachedPrefixes())
+                    .select(prompt, closed(open, "engine-0"), 0)
+                    .orElseThrow();
+            assertThat(other).isNotEqualTo("engine-0");
+            if (!home.equals("engine-0")) {
+                assertThat(other).isEqualTo(home);
+            }
+        }
+        assertThat(selector(1, new CachedPrefixes())
+                        .choose(prompt("p", Pace.SOON), closed(idle(1), "engine-0"), Integer.MAX_VALUE, 0))
+                .isInstanceOf(Choice.NoRoom.class);
+    }
+
+    private static List<WorkerLoad> closed(List<WorkerLoad> engines, String id) {
+        return engines.stream()
+                .map(each -> each.id().equals(id) ? closed(each) : each)
+                .toList();
+    }
+
+    private static WorkerLoad closed(WorkerLoad engine) {
+        return new WorkerLoad(
+                engine.id(),
+                engine.incarnation(),
+                engine.address(),
+                engine.dataCentre(),
+                engine.slots(),
+                engine.inFlight(),
+                engine.interactiveStreams(),
+                engine.prefillMillis(),
+                engine.suspected(),
+                ColdState.CLOSED);
+    }
+
     private EngineSelector selector(long seed, CachedPrefixes cached) {
         return new EngineSelector("dc", cached, split, Transfer.none(), new Random(seed));
     }
@@ -245,6 +288,6 @@
     }
 
     private static WorkerLoad load(String id, String address, int inFlight, double prefill, boolean suspected) {
-        return new WorkerLoad(id, id.hashCode(), address, "dc", 64, inFlight, 0, prefill, suspected);
+        return new WorkerLoad(id, id.hashCode(), address, "dc", 64, inFlight, 0, prefill, suspected, ColdState.WARM);
     }
 }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/LeastLoadedSelectorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/LeastLoadedSelectorTest.java
@@ -38,7 +38,24 @@
         assertThat(selector.select("dc", workers.subList(0, 1), 0)).contains("bad");
     }
 
+    // The only idle worker is cold and has had its part from this process. One more request could crash it; one that is
+    // suspected is tried first.
+    @Test
+    void aClosedWorkerGetsNothingThoughAllOthersAreSuspected() {
+        WorkerLoad closed = load("cold", "dc", 0, false, ColdState.CLOSED);
+        assertThat(selector.select("dc", List.of(closed), 0)).isEmpty();
+        assertThat(selector.select("dc", List.of(closed, load("bad", "dc", 6, 5, true)), 0))
+                .contains("bad");
+        WorkerLoad open = load("open", "dc", 0, false, ColdState.COLD);
+        assertThat(selector.select("dc", List.of(closed, open), 0)).contains("open");
+    }
+
     private static WorkerLoad load(String id, String dataCentre, int slots, int inFlight, boolean suspected) {
-        return new WorkerLoad(id, id.hashCode(), "10.0.0.1:1", dataCentre, slots, inFlight, 0, 0, suspected);
+        return new WorkerLoad(
+                id, id.hashCode(), "10.0.0.1:1", dataCentre, slots, inFlight, 0, 0, suspected, ColdState.WARM);
+    }
+
+    private static WorkerLoad load(String id, String dataCentre, int inFlight, boolean suspected, ColdState state) {
+        return new WorkerLoad(id, id.hashCode(), "10.0.0.1:1", dataCentre, 6, inFlight, 0, 0, suspected, state);
     }
 }
