A worker left out for its failures stays so until they are all but forgotten

Each was left out when three requests of all processes had failed there, and was back when one of these had faded, within a second: idle, so the cheapest of all, for as long as it was ill. Ruled out: that processes hear of it late (0.15 to 0.3 s), and that too many were suspected at once (5 of 42).

Now a suspicion ends when the failures have faded to 0.6, some six seconds, or when successes speak for the worker.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -5,6 +5,7 @@
 import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.cold.SentWindow;
 import org.dotterelcourse.policy.repeat.RecentOutcomes;
+import org.dotterelcourse.policy.repeat.SharedSuspicion;
 import org.dotterelcourse.policy.repeat.WorkerTrust;
 import org.dotterelcourse.policy.selection.ColdState;
 import org.dotterelcourse.policy.selection.WorkerLoad;
@@ -13,6 +14,7 @@
 public final class WorkerState {
     private final WorkerTrust trust = new WorkerTrust();
     private final RecentOutcomes outcomes = new RecentOutcomes();
+    private final SharedSuspicion sharedSuspicion = new SharedSuspicion();
     private final ColdPeriod coldPeriod = new ColdPeriod();
     private final SentWindow sentWhileCold = new SentWindow();
     private final int incarnation;
@@ -96,7 +98,7 @@
 
     /** Whether all processes together have seen it fail too often. */
     boolean suspectedByAll(long nowNanos) {
-        return RecentOutcomes.suspicious(
+        return sharedSuspicion.judge(
                 outcomes.succeededLately(nowNanos) + others.succeeded(),
                 outcomes.failedLately(nowNanos) + others.failed());
     }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/RecentOutcomes.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/RecentOutcomes.java
@@ -14,12 +14,6 @@
      */
     private static final double HALF_LIFE_NANOS = 3e9;
 
-    /** Failures of all processes together that one worker must have had: one or two may be chance. */
-    private static final double LEAST_FAILED = 2.5;
-
-    /** As for one process: well above the failures of services that answer up to 14 in 100 requests with one. */
-    private static final double FAILING_SHARE = 0.4;
-
     private double succeeded;
     private double failed;
     private long lastNanos;
@@ -66,17 +60,6 @@
         return failed;
     }
 
-    /**
-     * Whether counts speak for leaving a worker out.
-     *
-     * @param succeeded requests that lately ended well there, of all processes
-     * @param failed requests that lately failed there, of all processes
-     * @return true if many failed, and many of all
-     */
-    public static boolean suspicious(double succeeded, double failed) {
-        return failed >= LEAST_FAILED && failed >= FAILING_SHARE * (failed + succeeded);
-    }
-
     private void fade(long nowNanos) {
         double factor = Math.pow(0.5, Math.max(0, nowNanos - lastNanos) / HALF_LIFE_NANOS);
         lastNanos = nowNanos;
