Streams are kept from long prompts whose longest steps would make them late

Cause: holder-query of the shifted bond desk, four tokens an event and pauses of 250 ms, was taken for a stream that bears a long prompt beside it, by 2 ms: a step beside one was counted as 62 ms, the lower end of the sheet's range. Ruled out: first events, the split's size, the line.

Elsewhere: no route of the other deployments lies between 62 and 73 ms a token (300 ms for four tokens is the next one above).

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/Pace.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/Pace.java
@@ -15,10 +15,11 @@
     PATIENT;
 
     /**
-     * A step with a chunk of a long prompt: 33 ms for 2,048 tokens at 62.4 tokens/ms, 18 to 30 ms for attention to a
-     * context of 17,000 to 30,000 tokens, and 10 ms of its own (data sheet).
+     * The longest usual step with a chunk of a long prompt: 33 ms for 2,048 tokens at 62.4 tokens/ms, 30 ms for attention to
+     * a context of 30,000 tokens, and 10 ms of its own (data sheet). Were it taken for shorter, streams whose pauses end
+     * below it would share engines with long prompts and be late whenever one of their own steps is the longest.
      */
-    private static final double LONG_STEP_MILLIS = 62;
+    private static final double LONG_STEP_MILLIS = 73;
 
     /** The longest prompts, of some 50,000 tokens, take 0.85 s to read and 0.75 s for attention (data sheet). */
     private static final long LONG_PROMPT_MILLIS = 1_600;
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSplitTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSplitTest.java
@@ -111,6 +111,9 @@
         assertThat(Pace.of(200, 800, 2)).isEqualTo(Pace.SOON);
         assertThat(Pace.of(500, 2_500, 2)).isEqualTo(Pace.PATIENT);
         assertThat(Pace.of(0, 100, 1)).isEqualTo(Pace.SOON);
+        // Four tokens an event, which an engine that reads a prompt of 30,000 tokens makes in 292 ms.
+        assertThat(Pace.of(250, 500, 4)).isEqualTo(Pace.SHORT_PAUSES);
+        assertThat(Pace.of(300, 800, 4)).isEqualTo(Pace.SOON);
     }
 
     private static Prompt prompt(Pace pace) {
