A call that met a silent connection gets one of its own at the next worker

Cause, as traced when the test failed once: a check that may be repeated waited 4 s for nothing over a pooled connection that had gone silent, then 4 s over another such one at the second worker, and no worker was left. Now an attempt after a silent one doesn't use the pool. Weighed: trying both workers a second time; the client would have waited for longer than it does.

Tests: ServiceDispatcherTest, red without the change (no worker left). The router on the users' platform doesn't use this path.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ServiceDispatcher.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/dispatch/ServiceDispatcher.java
@@ -52,7 +52,8 @@
      * @return one value, never an error
      */
     public Mono<ServiceAnswer> dispatch(ServiceRequest request, WorkerListener workers) {
-        return Mono.defer(() -> attempt(new Sending(request, workers), Asks.of(request), false));
+        return Mono.defer(() ->
+                attempt(new Sending(request, workers, request.requestClass().idempotent()), Asks.of(request), false));
     }
 
     private Mono<ServiceAnswer> attempt(Sending sending, Ask ask, boolean mayHaveRun) {
@@ -76,7 +77,7 @@
 
     private Mono<ServiceAnswer> send(Sending sending, Ask ask, Grant grant, GrantUse use, boolean mayHaveRun) {
         sending.workers().sentTo(grant.worker().name());
-        return service.call(call(sending.request(), grant))
+        return service.call(call(sending, grant))
                 .doOnNext(reply -> {
                     use.add(reply);
                     // Before the next attempt asks: see ChatDispatcher.
@@ -95,15 +96,26 @@
         boolean mayHaveRunNow = mayHaveRun || !failure.notRun();
         Attempt attempt = Retries.attempt(grant.worker().name(), failure, 0);
         if (retries.decide(upstream, ask, attempt, false) instanceof RetryDecision.Elsewhere elsewhere) {
-            return attempt(sending, elsewhere.ask(), mayHaveRunNow);
+            return attempt(sending.after(failure), elsewhere.ask(), mayHaveRunNow);
         }
         return Mono.just(new ServiceAnswer.Failed(Refusals.failure(failure, mayHaveRunNow)));
     }
 
-    /** A call with its listener, the same over all its attempts. */
-    private record Sending(ServiceRequest request, WorkerListener workers) {}
+    /** A call with its listener, and whether its next attempt may go over a pooled connection. */
+    private record Sending(ServiceRequest request, WorkerListener workers, boolean pooled) {
+        /**
+         * Something on the way may have lost track of all connections while they lay idle. A call that waited for nothing
+         * over one of them would do so again at the next worker, and be refused though both workers are there; over a
+         * connection of its own it is answered.
+         */
+        Sending after(UpstreamFailure failure) {
+            boolean silent = failure.kind() == UpstreamFailure.Kind.SILENT;
+            return new Sending(request, workers, pooled && !silent);
+        }
+    }
 
-    private static ServiceCall call(ServiceRequest request, Grant grant) {
+    private static ServiceCall call(Sending sending, Grant grant) {
+        ServiceRequest request = sending.request();
         boolean idempotent = request.requestClass().idempotent();
         long targets = idempotent ? IDEMPOTENT_TIMEOUT_TARGETS : ONCE_TIMEOUT_TARGETS;
         long timeoutMillis = Math.max(
@@ -115,7 +127,7 @@
                 request.path(),
                 request.contentType(),
                 request.body(),
-                idempotent,
+                sending.pooled(),
                 Duration.ofMillis(timeoutMillis));
     }
 }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpPlainService.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/HttpPlainService.java
@@ -46,7 +46,7 @@
     }
 
     private Mono<ServiceReply> send(ServiceCall call, AtomicBoolean sent) {
-        return (call.idempotent() ? pooled : fresh)
+        return (call.pooled() ? pooled : fresh)
                 .doOnRequest((request, connection) -> sent.set(true))
                 .headers(headers ->
                         headers.set("Content-Type", call.contentType()).set("X-Request-Id", call.requestId()))
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/ServiceCall.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/upstream/ServiceCall.java
@@ -11,7 +11,7 @@
  * @param path path and query, with the leading slash
  * @param contentType the body's type
  * @param body the whole body
- * @param idempotent whether it may run more than once
+ * @param pooled whether it may go over a pooled connection; else it gets one of its own
  * @param timeout from sending to the whole answer
  */
 public record ServiceCall(
@@ -21,5 +21,5 @@
         String path,
         String contentType,
         byte[] body,
-        boolean idempotent,
+        boolean pooled,
         Duration timeout) {}
