Logs tell which requests broke at a worker that crashed

What was missing in the incident: a stream that its worker broke was logged as 200 without a reason; nothing said that two requests have the same content; nothing tied a worker's end to the requests that were there (it took the monitoring's alerts, two seconds late).

A cut stream's own line has its reason. One connection attempt for each broken attempt, nothing otherwise; the fingerprint is computed only then. No decision has changed.

With these lines hypothesis 1 (content) shows one fingerprint at crashed workers, 2 (our repeats) one request id at several workers, 3 (workers end by themselves) different fingerprints at each end, 4 (fetched parts) workers that crash under different fingerprints with the same parts.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
@@ -261,8 +261,10 @@
                         ByteBufFlux.fromInbound(Flux.from(stream.events()).map(Unpooled::wrappedBuffer)),
                         buffer -> true)
                 .then()
-                .doOnError(error -> response.withConnection(
-                        connection -> connection.channel().close()));
+                .doOnError(error -> {
+                    log.broken(error);
+                    response.withConnection(connection -> connection.channel().close());
+                });
     }
 
     private static Mono<Void> own(HttpServerResponse response, OwnAnswer answer, RequestLog log) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import org.dotterelcourse.gateway.routing.Route;
 import org.dotterelcourse.gateway.routing.UpstreamSpec;
+import org.dotterelcourse.policy.quarantine.Fingerprint;
 import org.dotterelcourse.policy.selection.Prompt;
 
 /** One request that was let in, with what has been tried for it. */
@@ -29,6 +30,8 @@
     private long longestPauseMillis;
     private double lastPauseMillis;
     private int events;
+    private int attemptEvents;
+    private Fingerprint fingerprint;
     private long sentNanos;
     private long waitedMillis;
     private String lastWorker = "";
@@ -111,6 +114,7 @@
             waitedMillis = (nowNanos - terms.arrivalNanos()) / NANOS_PER_MILLI;
         }
         sentNanos = nowNanos;
+        attemptEvents = 0;
         tried.add(worker);
         lastWorker = worker;
         sends++;
@@ -153,6 +157,7 @@
     void event(String id, long nowNanos) {
         lastEventId = id;
         events++;
+        attemptEvents++;
         lastPauseMillis = lastEventNanos == 0 ? 0 : (nowNanos - lastEventNanos) / (double) NANOS_PER_MILLI;
         if (lastEventNanos == 0) {
             firstEventMillis = (nowNanos - terms.arrivalNanos()) / NANOS_PER_MILLI;
@@ -172,6 +177,23 @@
         return events;
     }
 
+    /** How many of them came from the worker that has it now. */
+    int attemptEvents() {
+        return attemptEvents;
+    }
+
+    /**
+     * What it has in common with its repeats.
+     *
+     * @return the fingerprint, computed when it is first asked for
+     */
+    Fingerprint fingerprint() {
+        if (fingerprint == null) {
+            fingerprint = Fingerprint.of(terms.customer(), method.name(), uri, body);
+        }
+        return fingerprint;
+    }
+
     /** Time between the last two events, in milliseconds; 0 before the second one. */
     double lastPauseMillis() {
         return lastPauseMillis;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -45,6 +45,7 @@
     private WorkerClient client;
     private Selection selection;
     private EngineLines lines;
+    private BrokenAttempts broken;
 
     /**
      * Makes a forwarder.
@@ -72,6 +73,7 @@
         loop = kernel.find(GatewayLoop.NAME);
         state = kernel.find(GatewayState.NAME);
         client = new WorkerClient(loop);
+        broken = new BrokenAttempts(loop);
         RandomGenerator random = RandomGenerator.getDefault();
         selection = new Selection(dataCentre, state, random);
         lines = new EngineLines(loop, state, selection, random);
@@ -199,6 +201,7 @@
             return decide(
                     call, placement, new AttemptResult.NotRun("not reached: " + error.getMessage(), false), earlier);
         }
+        broken.broke(call, placement.entry(), error.getMessage());
         return decide(call, placement, new AttemptResult.Unknown(error.getMessage()), earlier);
     }
 
@@ -287,6 +290,7 @@
     private Flux<byte[]> resume(Call call, Placement placement, SendFailure error) {
         long now = loop.nowNanos();
         placement.failed(now);
+        broken.broke(call, placement.entry(), error.getMessage());
         if (!call.terms().route().repeatable() || !mayRepeat(call, now)) {
             return Flux.error(error);
         }
