Requests that crash workers are put into quarantine by the whole fleet

Cause: a poison request without a bound that outlasts its attempt. Every bound of the router (attempts, budget of repeats) counts within one request id, at one process; a repeat has a new id and comes to another process. Routes with more than one attempt carried it on themselves as well.

The fix: repeats are joined by a fingerprint of customer, method, path and body. A broken attempt is followed by one connection to its worker; refused, the worker has crashed. Two crashes in turn put the fingerprint into quarantine: 503 with the time after which it may be tried once more. A run that finishes clears it; crashes at the same moment count once; crashes during output count half. Processes tell each other in their reports, news three times and what is held once a second, so that lost messages and restarts don't matter; notices merge in any order (property). A repeat of the router's own waits for the verdict.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
@@ -25,6 +25,8 @@
         UPSTREAM,
         /** A data centre whose workers are to get nothing. */
         EVACUATION,
+        /** A request that is kept from workers because they crash under it. */
+        QUARANTINE,
         /** A shutdown. */
         DRAINING,
         /** An order to an engine. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -14,6 +14,8 @@
 import org.dotterelcourse.gateway.routing.RoutingTable;
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.gateway.workers.Workers;
+import org.dotterelcourse.policy.quarantine.CrashNotice;
+import org.dotterelcourse.policy.quarantine.RequestQuarantine;
 import org.dotterelcourse.policy.repeat.RepeatBudget;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.EngineModel;
@@ -28,6 +30,7 @@
     private final Map<String, RepeatBudget> budgets = new HashMap<>();
     private final Map<String, EngineSplit> splits = new HashMap<>();
     private final Map<String, EngineModel> models = new HashMap<>();
+    private final RequestQuarantine quarantine = new RequestQuarantine();
     private final CachedPrefixes prefixes = new CachedPrefixes();
     private final RepeatLimit limit;
     private AuditTrail audit;
@@ -205,6 +208,27 @@
         return prefixes;
     }
 
+    /**
+     * Requests under which workers crashed.
+     *
+     * @return the quarantine, which is the same for all upstreams
+     */
+    public RequestQuarantine quarantine() {
+        return quarantine;
+    }
+
+    /**
+     * A run of a request ended, with its worker or well, here or at a peer.
+     *
+     * @param notice what happened
+     * @param nowNanos the time
+     */
+    public void learn(CrashNotice notice, long nowNanos) {
+        if (quarantine.learn(notice, nowNanos)) {
+            audit.add(AuditEvent.Kind.QUARANTINE, notice.request().toString(), "workers crashed under it", "", "held");
+        }
+    }
+
     /**
      * The splits of all upstreams that had requests.
      *
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/CrashNoticeCodec.java
@@ -0,0 +1,67 @@
+package org.dotterelcourse.gateway.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
+import org.dotterelcourse.policy.quarantine.CrashNotice;
+import org.dotterelcourse.policy.quarantine.CrashNotice.Ending;
+import org.dotterelcourse.policy.quarantine.Fingerprint;
+
+/** Notices of crashed workers as columns of a message, and back. */
+final class CrashNoticeCodec {
+    private CrashNoticeCodec() {}
+
+    static FleetProtos.CrashNotices encode(List<CrashNotice> notices) {
+        FleetProtos.CrashNotices.Builder columns = FleetProtos.CrashNotices.newBuilder();
+        notices.forEach(notice -> columns.addRequest(notice.request().value())
+                .addEnding(encode(notice.ending()))
+                .addWorker(notice.worker())
+                .addRunMillis((int) notice.runMillis())
+                .addAgoMillis((int) notice.agoMillis()));
+        return columns.build();
+    }
+
+    private static FleetProtos.CrashNotices.Ending encode(Ending ending) {
+        return switch (ending) {
+            case FINISHED -> FleetProtos.CrashNotices.Ending.FINISHED;
+            case CRASHED_BEFORE_OUTPUT -> FleetProtos.CrashNotices.Ending.CRASHED_BEFORE_OUTPUT;
+            case CRASHED_DURING_OUTPUT -> FleetProtos.CrashNotices.Ending.CRASHED_DURING_OUTPUT;
+        };
+    }
+
+    /**
+     * Reads columns. Endings of a newer release are left out.
+     *
+     * @throws IllegalArgumentException if they don't have the same length
+     */
+    static List<CrashNotice> decode(FleetProtos.CrashNotices columns) {
+        int count = columns.getRequestCount();
+        if (columns.getEndingCount() != count
+                || columns.getWorkerCount() != count
+                || columns.getRunMillisCount() != count
+                || columns.getAgoMillisCount() != count) {
+            throw new IllegalArgumentException("columns of different lengths, " + count + " requests");
+        }
+        List<CrashNotice> notices = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            if (columns.getEnding(i) != FleetProtos.CrashNotices.Ending.UNRECOGNIZED) {
+                notices.add(new CrashNotice(
+                        new Fingerprint(columns.getRequest(i)),
+                        decode(columns.getEnding(i)),
+                        columns.getWorker(i),
+                        Integer.toUnsignedLong(columns.getRunMillis(i)),
+                        Integer.toUnsignedLong(columns.getAgoMillis(i))));
+            }
+        }
+        return notices;
+    }
+
+    private static Ending decode(FleetProtos.CrashNotices.Ending ending) {
+        return switch (ending) {
+            case CRASHED_BEFORE_OUTPUT -> Ending.CRASHED_BEFORE_OUTPUT;
+            case CRASHED_DURING_OUTPUT -> Ending.CRASHED_DURING_OUTPUT;
+            default -> Ending.FINISHED;
+        };
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -26,6 +26,7 @@
 import org.dotterelcourse.gateway.published.Publications;
 import org.dotterelcourse.gateway.published.StoreDuty;
 import org.dotterelcourse.gateway.workers.PeerLoads;
+import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.PaceWork;
 import org.jboss.logging.Logger;
@@ -97,6 +98,9 @@
     private long collectorNanos;
     private final Map<String, Told> lastTold = new HashMap<>();
 
+    /** What all receivers are told of crashed workers this time. */
+    private List<CrashNotice> notices = List.of();
+
     /** What a receiver was last told, and when. */
     private record Told(Map<Integer, PeerLoads.Load> loads, long atNanos) {}
 
@@ -145,6 +149,7 @@
             state.workers().fleet(peers.self(), others, now);
         }
         state.processes(others.size() + 1);
+        notices = state.quarantine().takeNotices(now);
         if (plan.direct()) {
             tellAll(now);
         } else {
@@ -175,6 +180,7 @@
         Told last = lastTold.get(receiver);
         boolean due = last == null
                 || !places.isEmpty()
+                || !notices.isEmpty()
                 || now - last.atNanos() >= UNCHANGED_PERIOD_MILLIS * NANOS_PER_MILLI
                 || publications.duty().newsSince(last.atNanos())
                 || !loads.equals(last.loads());
@@ -251,6 +257,9 @@
                     .addFollowerAnswers(follower.answer())
                     .addFollowerMillis((int) follower.ageMillis());
         }
+        if (!notices.isEmpty()) {
+            report.setCrashes(CrashNoticeCodec.encode(notices));
+        }
         places.forEach(place -> report.addParts(place.part()).addPartWorkers(place.worker()));
         state.splits().forEach((upstream, split) -> {
             PaceWork work =
@@ -271,9 +280,11 @@
         long now = loop.nowNanos();
         FleetProtos.LoadReport report;
         Map<Integer, PeerLoads.Load> loads;
+        List<CrashNotice> crashes;
         try {
             report = FleetProtos.LoadReport.parseFrom(body);
             loads = LoadCodec.decode(report.getWorkers());
+            crashes = CrashNoticeCodec.decode(report.getCrashes());
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             LOG.warnf(e, "a load report of %s can't be read", peer);
             return;
@@ -285,6 +296,7 @@
             collectorNanos = now;
         }
         state.workers().peerLoad(peer, scope, loads, now);
+        crashes.forEach(crash -> state.learn(crash, now));
         work(peer, scope, report, now);
         places(scope, report, now);
         followers(report, now);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -32,6 +32,7 @@
     private int events;
     private int attemptEvents;
     private Fingerprint fingerprint;
+    private boolean suspect;
     private long sentNanos;
     private long waitedMillis;
     private String lastWorker = "";
@@ -194,6 +195,15 @@
         return fingerprint;
     }
 
+    /** A worker crashed under it or its like: it must not run beside another such request. */
+    void suspect(boolean value) {
+        suspect = value;
+    }
+
+    boolean suspect() {
+        return suspect;
+    }
+
     /** Time between the last two events, in milliseconds; 0 before the second one. */
     double lastPauseMillis() {
         return lastPauseMillis;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -17,6 +17,7 @@
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.workers.Placement;
+import org.dotterelcourse.policy.quarantine.Verdict;
 import org.dotterelcourse.policy.selection.EngineModel;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -73,7 +74,7 @@
         loop = kernel.find(GatewayLoop.NAME);
         state = kernel.find(GatewayState.NAME);
         client = new WorkerClient(loop);
-        broken = new BrokenAttempts(loop);
+        broken = new BrokenAttempts(loop, state);
         RandomGenerator random = RandomGenerator.getDefault();
         selection = new Selection(dataCentre, state, random);
         lines = new EngineLines(loop, state, selection, random);
@@ -109,6 +110,11 @@
         if (call.leftMillis(now) < LEAST_LEFT_MILLIS) {
             return Mono.just(last(call, earlier, "no time left"));
         }
+        Verdict verdict = broken.verdict(call);
+        if (verdict instanceof Verdict.Held held) {
+            return Mono.just(quarantined(call, earlier, held));
+        }
+        call.suspect(verdict instanceof Verdict.Suspect);
         if (EngineLines.waits(call)) {
             return lines.admit(call).flatMap(admitted -> admitted(call, admitted));
         }
@@ -128,6 +134,10 @@
             return Mono.just(last(call, earlier, "no worker is free"));
         }
         Placement placement = placed.placement();
+        if (broken.verdict(call) instanceof Verdict.Held held) {
+            placement.ended();
+            return Mono.just(quarantined(call, earlier, held));
+        }
         long now = loop.nowNanos();
         return send(call, placed)
                 .timeout(Duration.ofMillis(call.leftMillis(now) + DEADLINE_GRACE_MILLIS), loop.scheduler())
@@ -201,8 +211,10 @@
             return decide(
                     call, placement, new AttemptResult.NotRun("not reached: " + error.getMessage(), false), earlier);
         }
-        broken.broke(call, placement.entry(), error.getMessage());
-        return decide(call, placement, new AttemptResult.Unknown(error.getMessage()), earlier);
+        Mono<Void> followed = broken.broke(call, placement.entry(), error.getMessage());
+        Mono<Reply> decided =
+                Mono.defer(() -> decide(call, placement, new AttemptResult.Unknown(error.getMessage()), earlier));
+        return call.terms().route().repeatable() ? followed.then(decided) : decided;
     }
 
     private Mono<Reply> decide(Call call, Placement placement, AttemptResult result, Optional<WholeAnswer> earlier) {
@@ -235,6 +247,7 @@
     private Mono<Reply> answered(Call call, Placement placement, WholeAnswer answer, long now) {
         if (!answer.failed()) {
             placement.succeeded(now);
+            broken.finished(call);
             return Mono.just(whole(answer));
         }
         placement.failedByAnswer(now);
@@ -280,6 +293,7 @@
 
     private void ended(Call call, Placement placement) {
         placement.succeeded(loop.nowNanos());
+        broken.finished(call);
         if (EngineLines.patient(call)) {
             int tokens = call.events() * call.terms().upstream().tokensPerEvent();
             state.model(call.terms().upstream().name()).answered(tokens);
@@ -288,10 +302,16 @@
 
     /** Goes on after the last whole event at another worker; the broken connection has stopped the first one. */
     private Flux<byte[]> resume(Call call, Placement placement, SendFailure error) {
-        long now = loop.nowNanos();
-        placement.failed(now);
-        broken.broke(call, placement.entry(), error.getMessage());
-        if (!call.terms().route().repeatable() || !mayRepeat(call, now)) {
+        placement.failed(loop.nowNanos());
+        Mono<Void> followed = broken.broke(call, placement.entry(), error.getMessage());
+        if (!call.terms().route().repeatable()) {
+            return Flux.error(error);
+        }
+        return followed.thenMany(Flux.defer(() -> goOn(call, error)));
+    }
+
+    private Flux<byte[]> goOn(Call call, SendFailure error) {
+        if (!mayRepeat(call, loop.nowNanos())) {
             return Flux.error(error);
         }
         return attempt(call, Optional.empty())
@@ -337,6 +357,13 @@
                 call.hasMaybeRun() ? OwnAnswer.unknown(reason) : OwnAnswer.notRun(reason, RETRY_AFTER_FULL_MILLIS));
     }
 
+    /** The refusal of a request that crashes workers, unless there is something better or it may have run. */
+    private static Reply quarantined(Call call, Optional<WholeAnswer> earlier, Verdict.Held held) {
+        String reason = "workers crash under this request";
+        boolean refused = earlier.isEmpty() && !call.hasMaybeRun();
+        return refused ? new Reply.Own(OwnAnswer.notRun(reason, held.retryAfterMillis())) : last(call, earlier, reason);
+    }
+
     private static Reply whole(WholeAnswer answer) {
         return new Reply.Whole(answer.status(), answer.headers(), answer.body());
     }
--- /dev/null
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantineTest.java
@@ -0,0 +1,133 @@
+package org.dotterelcourse.policy.quarantine;
+
+import java.util.List;
+
+import org.dotterelcourse.policy.quarantine.CrashNotice.Ending;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RequestQuarantineTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long START = 1_000 * SECOND;
+    private static final long COUNTED = 600 * SECOND;
+    private static final Fingerprint REQUEST = new Fingerprint(7);
+    private static final Fingerprint OTHER = new Fingerprint(8);
+
+    private final RequestQuarantine quarantine = new RequestQuarantine();
+
+    @Test
+    void aRequestIsFreeWhileNoWorkerHasCrashedUnderIt() {
+        crash(OTHER, 1, START);
+        assertThat(quarantine.verdict(REQUEST, START)).isInstanceOf(Verdict.Free.class);
+    }
+
+    @Test
+    void oneCrashMakesASuspectAndTheNextOneHoldsIt() {
+        crash(REQUEST, 1, START);
+        assertThat(quarantine.verdict(REQUEST, START)).isInstanceOf(Verdict.Suspect.class);
+        crash(REQUEST, 2, START + SECOND);
+        assertThat(quarantine.verdict(REQUEST, START + SECOND)).isInstanceOf(Verdict.Held.class);
+        assertThat(quarantine.verdict(OTHER, START + SECOND)).isInstanceOf(Verdict.Free.class);
+    }
+
+    @Test
+    void workersThatCrashTogetherUnderRepeatsOfARequestCountOnce() {
+        crash(REQUEST, 1, START);
+        crash(REQUEST, 2, START + SECOND / 100);
+        crash(REQUEST, 3, START + SECOND / 50);
+        assertThat(quarantine.verdict(REQUEST, START + SECOND)).isInstanceOf(Verdict.Suspect.class);
+    }
+
+    @Test
+    void aRunThatFinishesClearsARequest() {
+        crash(REQUEST, 1, START);
+        crash(REQUEST, 2, START + SECOND);
+        learn(new CrashNotice(REQUEST, Ending.FINISHED, 0, 0, 0), START + 2 * SECOND);
+        assertThat(quarantine.verdict(REQUEST, START + 2 * SECOND)).isInstanceOf(Verdict.Free.class);
+    }
+
+    @Test
+    void aCrashThatIsHeardOfAfterALaterRunFinishedDoesNotCount() {
+        crash(REQUEST, 1, START);
+        learn(new CrashNotice(REQUEST, Ending.FINISHED, 0, 0, 0), START + 3 * SECOND);
+        learn(new CrashNotice(REQUEST, Ending.CRASHED_BEFORE_OUTPUT, 2, 100, 1_500), START + 4 * SECOND);
+        assertThat(quarantine.verdict(REQUEST, START + 4 * SECOND)).isInstanceOf(Verdict.Free.class);
+    }
+
+    @Test
+    void crashesDuringOutputCountHalf() {
+        for (int worker = 1; worker <= 3; worker++) {
+            learn(notice(REQUEST, Ending.CRASHED_DURING_OUTPUT, worker), START + worker * SECOND);
+            assertThat(quarantine.verdict(REQUEST, START + worker * SECOND)).isInstanceOf(Verdict.Suspect.class);
+        }
+        learn(notice(REQUEST, Ending.CRASHED_DURING_OUTPUT, 4), START + 4 * SECOND);
+        assertThat(quarantine.verdict(REQUEST, START + 4 * SECOND)).isInstanceOf(Verdict.Held.class);
+    }
+
+    @Test
+    void afterTheTimeThatACrashCountsTheRequestIsTriedOnceMore() {
+        crash(REQUEST, 1, START);
+        crash(REQUEST, 2, START + SECOND);
+        Verdict verdict = quarantine.verdict(REQUEST, START + SECOND);
+        assertThat(verdict).isEqualTo(new Verdict.Held((COUNTED - SECOND) / 1_000_000));
+        long later = START + COUNTED + SECOND / 2;
+        assertThat(quarantine.verdict(REQUEST, later)).isInstanceOf(Verdict.Suspect.class);
+        crash(REQUEST, 3, later);
+        assertThat(quarantine.verdict(REQUEST, later)).isInstanceOf(Verdict.Held.class);
+    }
+
+    @Test
+    void aStormOfCrashesDoesNotDriveOutWhatIsHeld() {
+        crash(REQUEST, 1, START);
+        crash(REQUEST, 2, START + SECOND);
+        for (int i = 0; i < 5_000; i++) {
+            crash(new Fingerprint(1_000 + i), 3, START + 2 * SECOND);
+        }
+        assertThat(quarantine.verdict(REQUEST, START + 2 * SECOND)).isInstanceOf(Verdict.Held.class);
+    }
+
+    @Test
+    void nothingIsKnownOfRequestsWhoseCrashesNoLongerCount() {
+        crash(REQUEST, 1, START);
+        assertThat(quarantine.empty()).isFalse();
+        quarantine.takeNotices(START + COUNTED + 20 * SECOND);
+        assertThat(quarantine.empty()).isTrue();
+    }
+
+    @Test
+    void newsIsToldSomeTimesWithItsAgeAndThenNoMore() {
+        crash(REQUEST, 1, START);
+        assertThat(quarantine.takeNotices(START)).hasSize(1);
+        assertThat(quarantine.takeNotices(START + SECOND))
+                .containsExactly(new CrashNotice(REQUEST, Ending.CRASHED_BEFORE_OUTPUT, 1, 100, 1_000));
+        assertThat(quarantine.takeNotices(START + 2 * SECOND)).hasSize(1);
+        assertThat(quarantine.takeNotices(START + 3 * SECOND)).isEmpty();
+    }
+
+    @Test
+    void aProcessThatStartsLaterIsToldOfWhatIsHeld() {
+        crash(REQUEST, 1, START);
+        crash(REQUEST, 2, START + SECOND);
+        long now = START + 60 * SECOND;
+        for (int i = 0; i < 10; i++) {
+            quarantine.takeNotices(START + (2 + i) * SECOND);
+        }
+        RequestQuarantine started = new RequestQuarantine();
+        List<CrashNotice> reminders = quarantine.takeNotices(now);
+        reminders.forEach(notice -> started.learn(notice, now));
+        assertThat(started.verdict(REQUEST, now)).isInstanceOf(Verdict.Held.class);
+    }
+
+    private void crash(Fingerprint request, int worker, long nowNanos) {
+        learn(notice(request, Ending.CRASHED_BEFORE_OUTPUT, worker), nowNanos);
+    }
+
+    private static CrashNotice notice(Fingerprint request, Ending ending, int worker) {
+        return new CrashNotice(request, ending, worker, 100, 0);
+    }
+
+    private void learn(CrashNotice notice, long nowNanos) {
+        quarantine.learn(notice, nowNanos);
+    }
+}
