Requests under which a worker crashed are kept apart at their next attempt

What callers would see: all requests with the same shared prompt that were at a crashed engine go on together to the engine that is next for it, the one that crashes its workers among them; the second crash then puts all of them into quarantine, sound ones too.

Now each has an engine to itself while there are enough, and they share where there are not.

Tried and dropped: a test with real sockets of the same; there the crashing request was placed at the least loaded engine, beside nobody, so that it showed nothing either way.

Weak: each process keeps its own suspects apart, not those of its peers.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Selection.java
@@ -1,12 +1,15 @@
 package org.dotterelcourse.gateway.forward;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.workers.Placement;
 import org.dotterelcourse.gateway.workers.WorkerState;
+import org.dotterelcourse.gateway.workers.Workers;
 import org.dotterelcourse.policy.selection.Choice;
 import org.dotterelcourse.policy.selection.EngineModel;
 import org.dotterelcourse.policy.selection.EngineSelector;
@@ -81,15 +84,14 @@
     /** Places that are free at the upstream's engines for calls like this one, whoever takes them. */
     int room(Call call, long nowNanos) {
         int most = mostStreams(call);
-        return state.workers().candidates(call.terms().upstream().name(), call.tried(), nowNanos).stream()
+        return candidates(call, nowNanos).stream()
                 .filter(engine -> engine.open() && !engine.suspected())
                 .mapToInt(engine -> Math.max(0, Math.min(most, engine.slots()) - engine.inFlight()))
                 .sum();
     }
 
     private Outcome place(Call call, int mostStreams, long nowNanos) {
-        List<WorkerLoad> candidates =
-                state.workers().candidates(call.terms().upstream().name(), call.tried(), nowNanos);
+        List<WorkerLoad> candidates = candidates(call, nowNanos);
         Optional<Prompt> prompt = call.terms().prompt();
         if (prompt.isEmpty()) {
             return leastLoaded
@@ -111,9 +113,32 @@
         return choice instanceof Choice.NoRoom ? new Outcome.NoRoom() : new Outcome.NoWorker();
     }
 
+    /** Requests under which a worker crashed are kept apart where that goes, so that the next crash tells which it was. */
+    private List<WorkerLoad> candidates(Call call, long nowNanos) {
+        Workers workers = state.workers();
+        String upstream = call.terms().upstream().name();
+        if (call.suspect()) {
+            Set<String> except = new HashSet<>(call.tried());
+            except.addAll(workers.withSuspects());
+            List<WorkerLoad> apart = workers.candidates(upstream, except, nowNanos);
+            if (!apart.isEmpty()) {
+                return apart;
+            }
+        }
+        return workers.candidates(upstream, call.tried(), nowNanos);
+    }
+
+    private Placement place(Call call, WorkerState worker, boolean interactive, double prefill, long nowNanos) {
+        Placement placement = state.workers().place(worker, interactive, prefill, nowNanos);
+        if (call.suspect()) {
+            placement.suspect();
+        }
+        return placement;
+    }
+
     private Outcome plain(Call call, WorkerState worker, long nowNanos) {
         call.sending(worker.entry().id(), nowNanos);
-        return new Outcome.Placed(state.workers().place(worker, false, 0, nowNanos), "");
+        return new Outcome.Placed(place(call, worker, false, 0, nowNanos), "");
     }
 
     private Outcome engine(Call call, WorkerState worker, Choice.Engine engine, long nowNanos) {
@@ -129,7 +154,7 @@
                 .map(source -> source.entry().address())
                 .orElse("");
         boolean interactive = prompt.pace() == Pace.SHORT_PAUSES;
-        return new Outcome.Placed(state.workers().place(worker, interactive, prefill, nowNanos), fetchFrom);
+        return new Outcome.Placed(place(call, worker, interactive, prefill, nowNanos), fetchFrom);
     }
 
     private EngineSplit split(Call call) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
@@ -7,6 +7,7 @@
     private final double prefillMillis;
     private boolean started;
     private boolean ended;
+    private boolean suspect;
 
     Placement(WorkerState worker, boolean interactive, double prefillMillis, long nowNanos) {
         this.worker = worker;
@@ -24,6 +25,14 @@
         return worker.entry();
     }
 
+    /** A worker crashed under this request before. */
+    public void suspect() {
+        if (!suspect) {
+            suspect = true;
+            worker.suspectBegan();
+        }
+    }
+
     /** The prompt has been read: the first event is here. */
     public void started() {
         if (!started) {
@@ -38,6 +47,9 @@
             started();
             ended = true;
             worker.end(interactive);
+            if (suspect) {
+                worker.suspectEnded();
+            }
         }
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -22,6 +22,7 @@
     private WorkerEntry entry;
     private int inFlight;
     private int interactive;
+    private int suspects;
     private double prefillMillis;
     private PeerLoads.Load others = PeerLoads.Load.NONE;
 
@@ -122,6 +123,18 @@
         }
     }
 
+    void suspectBegan() {
+        suspects++;
+    }
+
+    void suspectEnded() {
+        suspects--;
+    }
+
+    boolean hasSuspects() {
+        return suspects > 0;
+    }
+
     WorkerLoad load(long nowNanos, boolean suspectedByAll, ColdState coldState) {
         return new WorkerLoad(
                 entry.id(),
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -183,6 +183,18 @@
                 .toList();
     }
 
+    /**
+     * Workers that have requests of this process under which a worker crashed before.
+     *
+     * @return their names
+     */
+    public List<String> withSuspects() {
+        return byId.values().stream()
+                .filter(WorkerState::hasSuspects)
+                .map(worker -> worker.entry().id())
+                .toList();
+    }
+
     private boolean mayServe(WorkerState worker) {
         WorkerEntry entry = worker.entry();
         return !entry.leaving() && !evacuated.contains(entry.dataCentre()) && !displaced(worker);
