--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -8,7 +8,6 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
@@ -41,6 +40,7 @@
 
     private final String dataCentre;
     private final Dialect dialect;
+    private final AnswerCheck check;
     private GatewayLoop loop;
     private GatewayState state;
     private WorkerClient client;
@@ -57,6 +57,7 @@
     public Forwarder(String dataCentre, Dialect dialect) {
         this.dataCentre = dataCentre;
         this.dialect = dialect;
+        this.check = new AnswerCheck(dialect);
     }
 
     @Override
@@ -154,16 +155,14 @@
     }
 
     private Mono<Reply> answered(Call call, Placement placement, OpenAnswer open) {
-        boolean own = dialect.marked(open.headers())
-                && dialect.requestId(open.headers()).equals(call.terms().id());
-        if (call.terms().route().streaming() && own && open.status() / 100 == 2 && !encoded(open.headers())) {
+        if (check.passable(call, open)) {
             Flux<byte[]> events = relay(call, placement, open).takeUntilOther(deadline(call));
             return Mono.just(new Reply.Stream(open.status(), open.headers(), events));
         }
         return collect(open)
                 .doFinally(signal -> placement.ended())
-                .doOnNext(answer -> closeUnlessOwn(own, open))
-                .flatMap(answer -> decide(call, placement, classify(call, answer), Optional.empty()));
+                .doOnNext(answer -> closeUnlessOwn(call, open))
+                .flatMap(answer -> decide(call, placement, check.classify(call, answer), Optional.empty()));
     }
 
     /** A stream that outlasts its route's timeout is cut, and the cut is visible: its client gets an error, not an end. */
@@ -173,38 +172,18 @@
     }
 
     /** Behind an answer that belongs to another request, more of them may follow. */
-    private static void closeUnlessOwn(boolean own, OpenAnswer open) {
-        if (!own) {
+    private void closeUnlessOwn(Call call, OpenAnswer open) {
+        if (!check.own(call, open)) {
             open.close().run();
         }
     }
 
-    private static boolean encoded(HttpHeaders headers) {
-        return headers.contains(HttpHeaderNames.CONTENT_ENCODING);
-    }
-
     private static Mono<WholeAnswer> collect(OpenAnswer open) {
         return open.body()
                 .collect(ByteArrayOutputStream::new, ByteArrayOutputStream::writeBytes)
                 .map(bytes -> new WholeAnswer(open.status(), open.headers(), bytes.toByteArray()));
     }
 
-    private AttemptResult classify(Call call, WholeAnswer answer) {
-        if (dialect.notRun(answer.status(), answer.headers())) {
-            return new AttemptResult.NotRun("refused with " + answer.status(), true);
-        }
-        if (!dialect.requestId(answer.headers()).equals(call.terms().id())) {
-            return new AttemptResult.Unknown("an answer to another request came");
-        }
-        if (!dialect.marked(answer.headers()) || encoded(answer.headers())) {
-            return new AttemptResult.Unknown("the answer is not a worker's");
-        }
-        if (StatusPromise.notRun(answer.status())) {
-            return new AttemptResult.Unknown("a refusal without the worker's word that it has not run");
-        }
-        return new AttemptResult.Answered(answer);
-    }
-
     private Mono<Reply> failed(Call call, Placement placement, SendFailure error, Optional<WholeAnswer> earlier) {
         if (!error.sent()) {
             call.notReached();
