A process that has just started is told at once which requests are held

A process that starts again knew nothing for up to a second, and each one let the crashing request through once more. Its peers now repeat what is held as soon as their view of the fleet changes.

Properties: restarts in turn, a loss of all that was known, a process that no peer reaches, lost messages: at most three sends by processes that had time to know, as the users state the rule.

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/RequestQuarantine.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/RequestQuarantine.java
@@ -47,6 +47,7 @@
     private final Map<Fingerprint, CrashRecord> records = new HashMap<>();
     private final Deque<News> untold = new ArrayDeque<>();
     private final Deque<Fingerprint> reminders = new ArrayDeque<>();
+    private boolean remindSoon;
     private long remindedNanos;
     private long cleanedNanos;
 
@@ -174,6 +175,11 @@
         }
     }
 
+    /** A peer may have started: it is told with the next notices what is held, before clients send it the same. */
+    public void peersChanged() {
+        remindSoon = true;
+    }
+
     /**
      * What to tell the peers now: news, and now and then the requests in quarantine, for processes that have started since.
      *
@@ -188,7 +194,8 @@
             clean(nowNanos);
         }
         List<CrashNotice> notices = takeNews(nowNanos);
-        if (nowNanos - remindedNanos > REMIND_NANOS) {
+        if (remindSoon || nowNanos - remindedNanos > REMIND_NANOS) {
+            remindSoon = false;
             remindedNanos = nowNanos;
             remind(notices, nowNanos);
         }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantinePropertyTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantinePropertyTest.java
@@ -17,6 +17,9 @@
     private static final long MILLISECOND = 1_000_000L;
     private static final long NOW = 10_000_000 * MILLISECOND;
     private static final int PROCESSES = 8;
+    private static final int SENDS = 40;
+    private static final int KNOWN_AFTER_CRASHES = 3;
+    private static final int MOST_SENDS_WHEN_KNOWN = 3;
     private static final Fingerprint REQUEST = new Fingerprint(7);
 
     @Property(tries = 500, seed = "20261203")
@@ -46,39 +49,53 @@
     @Property(tries = 300, seed = "20261203")
     void aFleetStopsACrashingRequestAfterAFewCrashesThoughThirdsOfItsMessagesAreLost(
             @ForAll Random random, @ForAll @IntRange(min = 200, max = 2_000) int gapMillis) {
-        List<RequestQuarantine> fleet = new ArrayList<>();
-        for (int i = 0; i < PROCESSES; i++) {
-            fleet.add(new RequestQuarantine());
+        SimulatedFleet fleet = new SimulatedFleet(PROCESSES, random);
+        for (int i = 0; i < SENDS; i++) {
+            fleet.send();
+            fleet.exchange(gapMillis);
         }
-        int crashes = 0;
-        long now = NOW;
-        for (int sends = 0; sends < 40; sends++) {
-            RequestQuarantine process = fleet.get(random.nextInt(PROCESSES));
-            if (!(process.verdict(REQUEST, now) instanceof Verdict.Held)) {
-                crashes++;
-                process.learn(new CrashNotice(REQUEST, Ending.CRASHED_BEFORE_OUTPUT, crashes, gapMillis / 10, 0), now);
+        assertThat(fleet.crashes()).isLessThanOrEqualTo(KNOWN_AFTER_CRASHES);
+    }
+
+    @Property(tries = 300, seed = "20261203")
+    void processesThatStartAgainOneAfterTheOtherLearnItFromTheirPeers(
+            @ForAll Random random, @ForAll @IntRange(min = 200, max = 2_000) int gapMillis) {
+        SimulatedFleet fleet = new SimulatedFleet(PROCESSES, random);
+        for (int i = 0; i < SENDS; i++) {
+            fleet.send();
+            fleet.exchange(gapMillis);
+            if (i % 4 == 0) {
+                fleet.restart(random.nextInt(PROCESSES));
             }
-            now = exchange(fleet, random, now, gapMillis);
         }
-        assertThat(crashes).isLessThanOrEqualTo(3);
+        assertThat(fleet.sendsWhenKnown()).isLessThanOrEqualTo(MOST_SENDS_WHEN_KNOWN);
     }
 
-    /** Each process tells all others every 50 ms; a third of the messages get lost. */
-    private static long exchange(List<RequestQuarantine> fleet, Random random, long fromNanos, int millis) {
-        long now = fromNanos;
-        for (int passed = 0; passed < millis; passed += 50) {
-            now += 50 * MILLISECOND;
-            for (RequestQuarantine sender : fleet) {
-                List<CrashNotice> notices = sender.takeNotices(now);
-                for (RequestQuarantine receiver : fleet) {
-                    if (receiver != sender && random.nextInt(3) > 0) {
-                        for (CrashNotice notice : notices) {
-                            receiver.learn(notice, now);
-                        }
-                    }
-                }
+    @Property(tries = 300, seed = "20261203")
+    void aFleetThatLosesAllItKnewStopsTheRequestAgain(
+            @ForAll Random random,
+            @ForAll @IntRange(min = 200, max = 2_000) int gapMillis,
+            @ForAll @IntRange(max = SENDS - 1) int allLost) {
+        SimulatedFleet fleet = new SimulatedFleet(PROCESSES, random);
+        for (int i = 0; i < SENDS; i++) {
+            fleet.send();
+            fleet.exchange(gapMillis);
+            if (i == allLost) {
+                fleet.restartAll();
             }
         }
-        return now;
+        assertThat(fleet.sendsWhenKnown()).isLessThanOrEqualTo(MOST_SENDS_WHEN_KNOWN);
+    }
+
+    @Property(tries = 300, seed = "20261203")
+    void aProcessThatNoPeerReachesFindsOutByItself(
+            @ForAll Random random, @ForAll @IntRange(min = 200, max = 2_000) int gapMillis) {
+        SimulatedFleet fleet = new SimulatedFleet(PROCESSES, random);
+        fleet.cutOff(random.nextInt(PROCESSES));
+        for (int i = 0; i < 4 * SENDS; i++) {
+            fleet.send();
+            fleet.exchange(gapMillis);
+        }
+        assertThat(fleet.sendsWhenKnown()).isLessThanOrEqualTo(MOST_SENDS_WHEN_KNOWN);
     }
 }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantineTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantineTest.java
@@ -119,6 +119,18 @@
         assertThat(started.verdict(REQUEST, now)).isInstanceOf(Verdict.Held.class);
     }
 
+    @Test
+    void aPeerThatHasJustStartedIsToldAtOnce() {
+        crash(REQUEST, 1, START);
+        crash(REQUEST, 2, START + SECOND);
+        for (int i = 0; i < 4; i++) {
+            quarantine.takeNotices(START + 2 * SECOND);
+        }
+        assertThat(quarantine.takeNotices(START + 2 * SECOND)).isEmpty();
+        quarantine.peersChanged();
+        assertThat(quarantine.takeNotices(START + 2 * SECOND)).hasSize(2);
+    }
+
     private void crash(Fingerprint request, int worker, long nowNanos) {
         learn(notice(request, Ending.CRASHED_BEFORE_OUTPUT, worker), nowNanos);
     }
