Crashes that decide are told first; one probe for all requests that break with a worker

When a worker with many streams ends, each process has dozens of notices about requests that were mid-output, and tells them in the order they came, 12 a report, each three times and on again: the one notice that would hold the crashing request waited behind them, and beyond 256 it was dropped. Test: crashesThatDecideAreToldBeforeTheManyThatSayLittle (1,000 such notices; by reading, the code before dropped the 1,001st).

Each broken request also asked the dead worker for a connection of its own; they now share the one under way. A request that is held, cleared and held again stands once among the reminders.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerProbe.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerProbe.java
@@ -2,6 +2,8 @@
 
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
 
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
@@ -21,6 +23,9 @@
 
     private final TcpClient client;
 
+    /** Probes under way, by the worker's address: all requests that break with a worker share one. */
+    private final Map<String, Mono<Finding>> underWay = new HashMap<>();
+
     WorkerProbe(GatewayLoop loop) {
         client = TcpClient.newConnection()
                 .runOn(loop.resources(), false)
@@ -37,8 +42,16 @@
         UNKNOWN
     }
 
-    /** Asks for a connection, and closes it at once. */
+    /** Asks for a connection, and closes it at once. Used on the gateway's loop only. */
     Mono<Finding> probe(WorkerEntry worker) {
+        return Mono.defer(() -> underWay.computeIfAbsent(
+                worker.address(),
+                address -> connect(worker)
+                        .doFinally(signal -> underWay.remove(address))
+                        .cache()));
+    }
+
+    private Mono<Finding> connect(WorkerEntry worker) {
         InetSocketAddress address = new InetSocketAddress(worker.host(), worker.port());
         return client.remoteAddress(() -> address)
                 .connect()
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/RequestQuarantine.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/RequestQuarantine.java
@@ -5,8 +5,10 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.dotterelcourse.policy.quarantine.CrashNotice.Ending;
 
@@ -46,8 +48,8 @@
 
     private final Map<Fingerprint, CrashRecord> records = new HashMap<>();
     private final Deque<News> untold = new ArrayDeque<>();
-    private final Deque<Fingerprint> reminders = new ArrayDeque<>();
-    private boolean remindSoon;
+    private final Set<Fingerprint> reminders = new LinkedHashSet<>();
+    private boolean remindSoon = true;
     private long remindedNanos;
     private long cleanedNanos;
 
@@ -169,9 +171,19 @@
         records.values().removeIf(record -> record.outdated(beforeNanos));
     }
 
+    /**
+     * Crashes during output come by the dozen when a worker with many streams ends, and say little. They must not hold up
+     * those before output, which decide.
+     */
     private void tell(CrashNotice notice, long nowNanos) {
-        if (untold.size() < MOST_UNTOLD) {
-            untold.add(new News(notice, nowNanos, TELL_TIMES));
+        News news = new News(notice, nowNanos, TELL_TIMES);
+        if (notice.ending() == Ending.CRASHED_DURING_OUTPUT) {
+            untold.addLast(news);
+        } else {
+            untold.addFirst(news);
+        }
+        if (untold.size() > MOST_UNTOLD) {
+            untold.removeLast();
         }
     }
 
@@ -217,11 +229,11 @@
     }
 
     private void remind(List<CrashNotice> notices, long nowNanos) {
-        int turns = Math.min(MOST_REMINDERS, reminders.size());
-        for (int i = 0; i < turns; i++) {
-            Fingerprint request = reminders.removeFirst();
+        List<Fingerprint> turn = reminders.stream().limit(MOST_REMINDERS).toList();
+        for (Fingerprint request : turn) {
+            reminders.remove(request);
             if (held(request, nowNanos)) {
-                reminders.addLast(request);
+                reminders.add(request);
                 records.get(request).chain().stream()
                         .limit(HELD_WEIGHT)
                         .forEach(mark -> notices.add(mark.notice(request, nowNanos)));
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantineTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantineTest.java
@@ -105,6 +105,16 @@
         assertThat(quarantine.takeNotices(START + 3 * SECOND)).isEmpty();
     }
 
+    @Test
+    void crashesThatDecideAreToldBeforeTheManyThatSayLittle() {
+        for (int i = 0; i < 1_000; i++) {
+            learn(notice(new Fingerprint(1_000 + i), Ending.CRASHED_DURING_OUTPUT, 1), START);
+        }
+        crash(REQUEST, 1, START);
+        assertThat(quarantine.takeNotices(START))
+                .anyMatch(notice -> notice.request().equals(REQUEST));
+    }
+
     @Test
     void aProcessThatStartsLaterIsToldOfWhatIsHeld() {
         crash(REQUEST, 1, START);
