--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
@@ -91,9 +91,8 @@
     private static OpenAnswer open(HttpClientResponse response, Connection connection) {
         int status = response.status().code();
         Runnable close = () -> connection.channel().close();
-        // A client that closes its connection after the answer cancels this while its last signal is on its way, so
-        // that
-        // the signal at the end doesn't tell whether the body was whole.
+        // A client that closes its connection after the answer cancels this while its last signal is on its way. So the
+        // signal at the end doesn't tell whether the body was whole.
         AtomicBoolean whole = new AtomicBoolean();
         Flux<byte[]> body = connection
                 .inbound()
