What bounds the requests of a worker gets names that are not about cold workers

ColdShare, SentWindow and ColdHolders share out a worker's requests whatever the reason; ColdState is what a selector is told. RateShare, SentWindow (policy.rate), ShareHolders and Intake (FREE, SHARED, CLOSED) from now on. No behaviour changes; the tests keep their assertions.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/ColdHolders.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/ShareHolders.java
@@ -7,17 +7,17 @@
 import org.dotterelcourse.coordination.ownership.Rendezvous;
 
 /**
- * Which processes may use a cold worker: by rendezvous hashing of the worker's name over the members of the fleet, so
+ * Which processes may use a worker that bears few requests: by rendezvous hashing of the worker's name over the members of the fleet, so
  * that all agree without asking each other.
  */
-final class ColdHolders {
+final class ShareHolders {
     /**
      * A fleet that has grown by this factor is one that this process is only getting to know. After a loss of all, each
-     * process would else begin as the only one it knows, and use every cold worker.
+     * process would else begin as the only one it knows, and use every such worker.
      */
     private static final double GROWN = 1.25;
 
-    /** How long a process that gets to know the fleet uses no cold worker: it meets most others within a second. */
+    /** How long a process that gets to know the fleet uses no such worker: it meets most others within a second. */
     private static final long SETTLING_NANOS = 2_000_000_000L;
 
     private final Map<String, Integer> ranks = new HashMap<>();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -1,13 +1,13 @@
 package org.dotterelcourse.gateway.workers;
 
 import org.dotterelcourse.policy.cold.ColdPeriod;
-import org.dotterelcourse.policy.cold.ColdShare;
 import org.dotterelcourse.policy.cold.ColdStart;
-import org.dotterelcourse.policy.cold.SentWindow;
+import org.dotterelcourse.policy.rate.RateShare;
+import org.dotterelcourse.policy.rate.SentWindow;
 import org.dotterelcourse.policy.repeat.RecentOutcomes;
 import org.dotterelcourse.policy.repeat.SharedSuspicion;
 import org.dotterelcourse.policy.repeat.WorkerTrust;
-import org.dotterelcourse.policy.selection.ColdState;
+import org.dotterelcourse.policy.selection.Intake;
 import org.dotterelcourse.policy.selection.WorkerLoad;
 
 /** One worker with what this process and its peers have there. Used on the gateway's loop only. */
@@ -16,7 +16,7 @@
     private final RecentOutcomes outcomes = new RecentOutcomes();
     private final SharedSuspicion sharedSuspicion = new SharedSuspicion();
     private final ColdPeriod coldPeriod = new ColdPeriod();
-    private final SentWindow sentWhileCold = new SentWindow();
+    private final SentWindow sent = new SentWindow();
     private final int incarnation;
     private final long order;
     private WorkerEntry entry;
@@ -87,14 +87,14 @@
         return coldPeriod;
     }
 
-    /** Whether it is cold, and whether this process may send it a request now. */
-    ColdState coldState(ColdStart coldStart, ColdHolders holders, long nowNanos) {
+    /** Whether this process may send it a request now. */
+    Intake intake(ColdStart coldStart, ShareHolders holders, long nowNanos) {
         if (!coldPeriod.cold(coldStart, nowNanos)) {
-            return ColdState.WARM;
+            return Intake.FREE;
         }
-        ColdShare share = ColdShare.of(coldStart.perSecond(), holders.processes());
-        boolean open = holders.holds(entry.id(), share.holders(), nowNanos) && sentWhileCold.open(share, nowNanos);
-        return open ? ColdState.COLD : ColdState.CLOSED;
+        RateShare share = RateShare.ofPeak(coldStart.perSecond(), holders.processes());
+        boolean open = holders.holds(entry.id(), share.holders(), nowNanos) && sent.open(share, nowNanos);
+        return open ? Intake.SHARED : Intake.CLOSED;
     }
 
     /** Whether all processes together have seen it fail too often. */
@@ -105,7 +105,7 @@
     }
 
     void begin(boolean isInteractive, double prefill, long nowNanos) {
-        sentWhileCold.sent(nowNanos);
+        sent.sent(nowNanos);
         inFlight++;
         interactive += isInteractive ? 1 : 0;
         prefillMillis += prefill;
@@ -135,7 +135,7 @@
         return suspects > 0;
     }
 
-    WorkerLoad load(long nowNanos, boolean suspectedByAll, ColdState coldState) {
+    WorkerLoad load(long nowNanos, boolean suspectedByAll, Intake intake) {
         return new WorkerLoad(
                 entry.id(),
                 incarnation,
@@ -146,6 +146,6 @@
                 interactive + others.interactive(),
                 prefillMillis + others.prefillMillis(),
                 suspectedByAll || trust.suspected(nowNanos),
-                coldState);
+                intake);
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -39,7 +39,7 @@
     private boolean holdersKnown;
     private Predicate<String> upstreamKnown = upstream -> true;
     private Function<String, ColdStart> coldStarts = upstream -> ColdStart.none();
-    private final ColdHolders coldHolders = new ColdHolders();
+    private final ShareHolders shareHolders = new ShareHolders();
     private long nextOrder;
 
     /**
@@ -112,7 +112,7 @@
      * @param nowNanos the time
      */
     public void fleet(String self, List<String> others, long nowNanos) {
-        coldHolders.fleet(self, others, nowNanos);
+        shareHolders.fleet(self, others, nowNanos);
     }
 
     /**
@@ -179,7 +179,7 @@
         return serving.stream()
                 .filter(worker -> !except.contains(worker.entry().id()))
                 .map(worker -> worker.load(
-                        nowNanos, few && suspects.contains(worker), worker.coldState(coldStart, coldHolders, nowNanos)))
+                        nowNanos, few && suspects.contains(worker), worker.intake(coldStart, shareHolders, nowNanos)))
                 .toList();
     }
 
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cold/SentWindow.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/SentWindow.java
@@ -1,11 +1,11 @@
-package org.dotterelcourse.policy.cold;
+package org.dotterelcourse.policy.rate;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
 
 /**
- * When this process sent one worker its last requests. Those from before it was known to be cold count as well: it may
- * have been cold already when they came.
+ * When this process sent one worker its last requests. Those from before its intake was known to be bounded count as
+ * well: it may have been so already when they came.
  */
 public final class SentWindow {
     /** The usual window. Of longer ones, which allow one request, only the last one need be known. */
@@ -20,7 +20,7 @@
      * @param nowNanos the time
      * @return false if the share of the window that ends now is used up
      */
-    public boolean open(ColdShare share, long nowNanos) {
+    public boolean open(RateShare share, long nowNanos) {
         long inWindow = sentNanos.stream()
                 .filter(sent -> nowNanos - sent < share.windowNanos())
                 .count();
--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/Intake.java
@@ -0,0 +1,11 @@
+package org.dotterelcourse.policy.selection;
+
+/** Whether a worker takes requests of this process. */
+public enum Intake {
+    /** It takes whatever it has room for. */
+    FREE,
+    /** It takes only so many from the whole fleet, and may get this request. */
+    SHARED,
+    /** It takes only so many, and may get nothing more from this process for now. */
+    CLOSED
+}
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/cold/ColdShareTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/rate/RateShareTest.java
@@ -1,4 +1,4 @@
-package org.dotterelcourse.policy.cold;
+package org.dotterelcourse.policy.rate;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,22 +11,22 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class ColdShareTest {
+class RateShareTest {
     private static final long SECOND = 1_000_000_000L;
 
     @Test
     void asManyProcessesAsRequestsInASecondHoldAShare() {
-        assertThat(ColdShare.of(5.9, 60)).isEqualTo(new ColdShare(5, 1, SECOND));
-        assertThat(ColdShare.of(5.9, 2)).isEqualTo(new ColdShare(2, 2, SECOND));
-        assertThat(ColdShare.of(5.9, 1)).isEqualTo(new ColdShare(1, 5, SECOND));
-        assertThat(ColdShare.of(0.5, 60)).isEqualTo(new ColdShare(1, 1, 2 * SECOND));
+        assertThat(RateShare.ofPeak(5.9, 60)).isEqualTo(new RateShare(5, 1, SECOND));
+        assertThat(RateShare.ofPeak(5.9, 2)).isEqualTo(new RateShare(2, 2, SECOND));
+        assertThat(RateShare.ofPeak(5.9, 1)).isEqualTo(new RateShare(1, 5, SECOND));
+        assertThat(RateShare.ofPeak(0.5, 60)).isEqualTo(new RateShare(1, 1, 2 * SECOND));
     }
 
     @Property(seed = "20261203")
     void theSharesAreNeverMoreThanAWorkerBears(
             @ForAll @DoubleRange(min = 0.01, max = 1_000) double perSecond,
             @ForAll @IntRange(min = 1, max = 400) int processes) {
-        ColdShare share = ColdShare.of(perSecond, processes);
+        RateShare share = RateShare.ofPeak(perSecond, processes);
         assertThat(share.holders()).isBetween(1, processes);
         assertThat(share.requests()).isPositive();
         double most = share.holders() * share.requests() * (double) SECOND / share.windowNanos();
@@ -39,7 +39,7 @@
             @ForAll @DoubleRange(min = 0.1, max = 20) double perSecond,
             @ForAll @IntRange(min = 1, max = 40) int processes,
             @ForAll @IntRange(min = 1, max = 400) int everyMillis) {
-        ColdShare share = ColdShare.of(perSecond, processes);
+        RateShare share = RateShare.ofPeak(perSecond, processes);
         SentWindow window = new SentWindow();
         List<Long> sent = new ArrayList<>();
         for (long now = 0; now < 12 * SECOND; now += everyMillis * 1_000_000L) {
