Limits that workers name in their answers are read and logged

No decision changes. An audit line of kind LIMIT tells which worker named which limit, and what it had named before, in each process that had an answer; without it nothing in our logs could tell the hypotheses of the incident apart.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
@@ -27,6 +27,8 @@
         EVACUATION,
         /** A request that is kept from workers because they crash under it. */
         QUARANTINE,
+        /** How many requests a worker takes in a second. */
+        LIMIT,
         /** A shutdown. */
         DRAINING,
         /** An order to an engine. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.dotterelcourse.daemon.audit.AuditEvent;
 import org.dotterelcourse.daemon.audit.AuditTrail;
@@ -16,6 +17,7 @@
 import org.dotterelcourse.gateway.workers.Workers;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.RequestQuarantine;
+import org.dotterelcourse.policy.rate.WorkerLimits;
 import org.dotterelcourse.policy.repeat.RepeatBudget;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.EngineModel;
@@ -32,6 +34,7 @@
     private final Map<String, EngineModel> models = new HashMap<>();
     private final RequestQuarantine quarantine = new RequestQuarantine();
     private final CachedPrefixes prefixes = new CachedPrefixes();
+    private final WorkerLimits limits = new WorkerLimits();
     private final RepeatLimit limit;
     private AuditTrail audit;
     private volatile RoutingTable table;
@@ -229,6 +232,23 @@
         }
     }
 
+    /**
+     * A worker has said in an answer how many requests it takes.
+     *
+     * @param worker the worker
+     * @param perSecond requests a second from all processes together, empty if it named no limit
+     */
+    public void limited(WorkerEntry worker, OptionalDouble perSecond) {
+        String before = describe(limits.limit(worker.incarnation()));
+        if (limits.said(worker.incarnation(), perSecond)) {
+            audit.add(AuditEvent.Kind.LIMIT, worker.id(), "named in an answer", before, describe(perSecond));
+        }
+    }
+
+    private static String describe(OptionalDouble perSecond) {
+        return perSecond.isPresent() ? perSecond.getAsDouble() + " a second" : "none";
+    }
+
     /**
      * The splits of all upstreams that had requests.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Dialect.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Dialect.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.gateway.forward;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -88,6 +89,14 @@
      */
     boolean notRun(int status, HttpHeaders headers);
 
+    /**
+     * Reads how many requests a second a worker takes from all processes together.
+     *
+     * @param headers the answer's
+     * @return the rate, not negative; empty if the worker names none
+     */
+    OptionalDouble requestsPerSecond(HttpHeaders headers);
+
     /**
      * The header that names the last event a client has.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -155,6 +155,9 @@
     }
 
     private Mono<Reply> answered(Call call, Placement placement, OpenAnswer open) {
+        if (check.own(call, open)) {
+            state.limited(placement.entry(), dialect.requestsPerSecond(open.headers()));
+        }
         if (check.passable(call, open)) {
             Flux<byte[]> events = relay(call, placement, open).takeUntilOther(deadline(call));
             return Mono.just(new Reply.Stream(open.status(), open.headers(), events));
