A worker's request limit is kept by the whole fleet

What callers saw: nothing yet; workers in need got up to ninety times what they had said they take.

Cause: a bound that a worker names for all processes together was read by none of them. The class of fault: a limit of a shared resource that no process keeps, because each sees only its own part.

Now each process hears the limit in any answer to its own request, peers are told (news three times, what stands once a second, a new peer at once, the worker's newest word counts), and RateShare.ofMean shares it out by the same rendezvous order that shares cold workers: a few holders, each with a part of the rate, so that nobody has to hear of anybody's requests in time. A worker that is closed to a process keeps its place among the others; its split and homes do not move. An answer that ended well and names no limit ends it.

Kept: spare holders, 3 of them; with 3 the property over four seconds holds for limits of 0 to 40 and up to 100 processes. Ruled out: counting the sends of all peers; they would have to be known within the time in which all processes see the same free place.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -17,6 +17,7 @@
 import org.dotterelcourse.gateway.workers.Workers;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.RequestQuarantine;
+import org.dotterelcourse.policy.rate.LimitNotice;
 import org.dotterelcourse.policy.rate.WorkerLimits;
 import org.dotterelcourse.policy.repeat.RepeatBudget;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
@@ -34,7 +35,6 @@
     private final Map<String, EngineModel> models = new HashMap<>();
     private final RequestQuarantine quarantine = new RequestQuarantine();
     private final CachedPrefixes prefixes = new CachedPrefixes();
-    private final WorkerLimits limits = new WorkerLimits();
     private final RepeatLimit limit;
     private AuditTrail audit;
     private volatile RoutingTable table;
@@ -237,14 +237,36 @@
      *
      * @param worker the worker
      * @param perSecond requests a second from all processes together, empty if it named no limit
+     * @param nowNanos the time
      */
-    public void limited(WorkerEntry worker, OptionalDouble perSecond) {
+    public void limited(WorkerEntry worker, OptionalDouble perSecond, long nowNanos) {
+        WorkerLimits limits = workers.limits();
         String before = describe(limits.limit(worker.incarnation()));
-        if (limits.said(worker.incarnation(), perSecond)) {
+        boolean published = workers.started(worker.incarnation()).isPresent();
+        if (published && limits.said(worker.incarnation(), perSecond, nowNanos)) {
             audit.add(AuditEvent.Kind.LIMIT, worker.id(), "named in an answer", before, describe(perSecond));
         }
     }
 
+    /**
+     * A peer has told how many requests a worker takes. Of workers that are not published here nothing is kept: a
+     * process that knows them is told again.
+     *
+     * @param notice the worker's word
+     * @param peer the peer's name
+     * @param nowNanos the time
+     */
+    public void learn(LimitNotice notice, String peer, long nowNanos) {
+        workers.started(notice.worker()).ifPresent(worker -> {
+            WorkerLimits limits = workers.limits();
+            String before = describe(limits.limit(notice.worker()));
+            if (limits.told(notice, nowNanos)) {
+                String id = worker.entry().id();
+                audit.add(AuditEvent.Kind.LIMIT, id, "told by " + peer, before, describe(notice.perSecond()));
+            }
+        });
+    }
+
     private static String describe(OptionalDouble perSecond) {
         return perSecond.isPresent() ? perSecond.getAsDouble() + " a second" : "none";
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -27,6 +27,7 @@
 import org.dotterelcourse.gateway.published.StoreDuty;
 import org.dotterelcourse.gateway.workers.PeerLoads;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
+import org.dotterelcourse.policy.rate.LimitNotice;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.PaceWork;
 import org.jboss.logging.Logger;
@@ -98,8 +99,17 @@
     private long collectorNanos;
     private final Map<String, Told> lastTold = new HashMap<>();
 
-    /** What all receivers are told of crashed workers this time. */
-    private List<CrashNotice> notices = List.of();
+    /** What all receivers are told this time. */
+    private Notices notices = Notices.NONE;
+
+    /** What was learned of workers, and is told as it is to everybody. */
+    private record Notices(List<CrashNotice> crashes, List<LimitNotice> limits) {
+        private static final Notices NONE = new Notices(List.of(), List.of());
+
+        boolean isEmpty() {
+            return crashes.isEmpty() && limits.isEmpty();
+        }
+    }
 
     /** What a receiver was last told, and when. */
     private record Told(Map<Integer, PeerLoads.Load> loads, long atNanos) {}
@@ -148,9 +158,11 @@
             others = view.stream().filter(this::isOther).map(Member::name).toList();
             state.workers().fleet(peers.self(), others, now);
             state.quarantine().peersChanged();
+            state.workers().limits().peersChanged();
         }
         state.processes(others.size() + 1);
-        notices = state.quarantine().takeNotices(now);
+        notices = new Notices(
+                state.quarantine().takeNotices(now), state.workers().limits().takeNotices(now));
         if (plan.direct()) {
             tellAll(now);
         } else {
@@ -258,8 +270,11 @@
                     .addFollowerAnswers(follower.answer())
                     .addFollowerMillis((int) follower.ageMillis());
         }
-        if (!notices.isEmpty()) {
-            report.setCrashes(CrashNoticeCodec.encode(notices));
+        if (!notices.crashes().isEmpty()) {
+            report.setCrashes(CrashNoticeCodec.encode(notices.crashes()));
+        }
+        if (!notices.limits().isEmpty()) {
+            report.setLimits(LimitNoticeCodec.encode(notices.limits()));
         }
         places.forEach(place -> report.addParts(place.part()).addPartWorkers(place.worker()));
         state.splits().forEach((upstream, split) -> {
@@ -281,11 +296,12 @@
         long now = loop.nowNanos();
         FleetProtos.LoadReport report;
         Map<Integer, PeerLoads.Load> loads;
-        List<CrashNotice> crashes;
+        Notices told;
         try {
             report = FleetProtos.LoadReport.parseFrom(body);
             loads = LoadCodec.decode(report.getWorkers());
-            crashes = CrashNoticeCodec.decode(report.getCrashes());
+            told = new Notices(
+                    CrashNoticeCodec.decode(report.getCrashes()), LimitNoticeCodec.decode(report.getLimits()));
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             LOG.warnf(e, "a load report of %s can't be read", peer);
             return;
@@ -297,7 +313,8 @@
             collectorNanos = now;
         }
         state.workers().peerLoad(peer, scope, loads, now);
-        crashes.forEach(crash -> state.learn(crash, now));
+        told.crashes().forEach(crash -> state.learn(crash, now));
+        told.limits().forEach(limit -> state.learn(limit, peer, now));
         work(peer, scope, report, now);
         places(scope, report, now);
         followers(report, now);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AnswerCheck.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AnswerCheck.java
@@ -13,8 +13,12 @@
 
     /** Whether an answer is a worker's and belongs to the request; its body is not looked at. */
     boolean own(Call call, OpenAnswer open) {
-        return dialect.marked(open.headers())
-                && dialect.requestId(open.headers()).equals(call.terms().id());
+        return dialect.marked(open.headers()) && answers(call, open.headers());
+    }
+
+    /** Whether an answer names the request that it is for, whoever gave it. */
+    boolean answers(Call call, HttpHeaders headers) {
+        return dialect.requestId(headers).equals(call.terms().id());
     }
 
     /** Whether an answer is a stream that can be passed on as it comes. */
@@ -30,7 +34,7 @@
         if (dialect.notRun(answer.status(), answer.headers())) {
             return new AttemptResult.NotRun("refused with " + answer.status(), true);
         }
-        if (!dialect.requestId(answer.headers()).equals(call.terms().id())) {
+        if (!answers(call, answer.headers())) {
             return new AttemptResult.Unknown("an answer to another request came");
         }
         if (!dialect.marked(answer.headers()) || encoded(answer.headers())) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 
@@ -155,9 +156,7 @@
     }
 
     private Mono<Reply> answered(Call call, Placement placement, OpenAnswer open) {
-        if (check.own(call, open)) {
-            state.limited(placement.entry(), dialect.requestsPerSecond(open.headers()));
-        }
+        hearLimit(call, placement, open);
         if (check.passable(call, open)) {
             Flux<byte[]> events = relay(call, placement, open).takeUntilOther(deadline(call));
             return Mono.just(new Reply.Stream(open.status(), open.headers(), events));
@@ -168,6 +167,15 @@
                 .flatMap(answer -> decide(call, placement, check.classify(call, answer), Optional.empty()));
     }
 
+    /** A limit counts whatever the answer is; its end only where the worker has answered as it always does. */
+    private void hearLimit(Call call, Placement placement, OpenAnswer open) {
+        OptionalDouble named = dialect.requestsPerSecond(open.headers());
+        boolean whole = dialect.marked(open.headers()) && open.status() / 100 == 2;
+        if (check.answers(call, open.headers()) && (named.isPresent() || whole)) {
+            state.limited(placement.entry(), named, loop.nowNanos());
+        }
+    }
+
     /** A stream that outlasts its route's timeout is cut, and the cut is visible: its client gets an error, not an end. */
     private Mono<Void> deadline(Call call) {
         Duration left = Duration.ofMillis(Math.max(0, call.leftMillis(loop.nowNanos())) + DEADLINE_GRACE_MILLIS);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -1,5 +1,7 @@
 package org.dotterelcourse.gateway.workers;
 
+import java.util.OptionalDouble;
+
 import org.dotterelcourse.policy.cold.ColdPeriod;
 import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.rate.RateShare;
@@ -88,15 +90,21 @@
     }
 
     /** Whether this process may send it a request now. */
-    Intake intake(ColdStart coldStart, ShareHolders holders, long nowNanos) {
-        if (!coldPeriod.cold(coldStart, nowNanos)) {
+    Intake intake(ColdStart coldStart, OptionalDouble limit, ShareHolders holders, long nowNanos) {
+        boolean cold = coldPeriod.cold(coldStart, nowNanos);
+        if (!cold && limit.isEmpty()) {
             return Intake.FREE;
         }
-        RateShare share = RateShare.ofPeak(coldStart.perSecond(), holders.processes());
-        boolean open = holders.holds(entry.id(), share.holders(), nowNanos) && sent.open(share, nowNanos);
+        int processes = holders.processes();
+        boolean open = (!cold || open(RateShare.ofPeak(coldStart.perSecond(), processes), holders, nowNanos))
+                && (limit.isEmpty() || open(RateShare.ofMean(limit.getAsDouble(), processes), holders, nowNanos));
         return open ? Intake.SHARED : Intake.CLOSED;
     }
 
+    private boolean open(RateShare share, ShareHolders holders, long nowNanos) {
+        return holders.holds(entry.id(), share.holders(), nowNanos) && sent.open(share, nowNanos);
+    }
+
     /** Whether all processes together have seen it fail too often. */
     boolean suspectedByAll(long nowNanos) {
         return sharedSuspicion.judge(
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -11,6 +11,8 @@
 import java.util.function.Predicate;
 
 import org.dotterelcourse.policy.cold.ColdStart;
+import org.dotterelcourse.policy.rate.WorkerLimits;
+import org.dotterelcourse.policy.selection.Intake;
 import org.dotterelcourse.policy.selection.WorkerLoad;
 
 /** All known workers. Used on the gateway's loop only. */
@@ -28,6 +30,7 @@
     private static final long REFRESH_NANOS = 500_000_000L;
 
     private final Map<String, WorkerState> byId = new HashMap<>();
+    private final Map<Integer, WorkerState> byIncarnation = new HashMap<>();
     private final PeerLoads peerLoads = new PeerLoads();
     private boolean changed;
     private long refreshedNanos;
@@ -40,6 +43,7 @@
     private Predicate<String> upstreamKnown = upstream -> true;
     private Function<String, ColdStart> coldStarts = upstream -> ColdStart.none();
     private final ShareHolders shareHolders = new ShareHolders();
+    private final WorkerLimits limits = new WorkerLimits();
     private long nextOrder;
 
     /**
@@ -61,7 +65,8 @@
             known.entry(entry);
         } else {
             current = new WorkerState(entry, nextOrder++);
-            byId.put(entry.id(), current);
+            ended(byId.put(entry.id(), current));
+            byIncarnation.put(current.incarnation(), current);
             changed = true;
         }
         current.coldPeriod().told(entry.coldMillis(), nowNanos);
@@ -123,7 +128,16 @@
      */
     public Optional<WorkerEntry> gone(String id) {
         holdersKnown = false;
-        return Optional.ofNullable(byId.remove(id)).map(WorkerState::entry);
+        WorkerState gone = byId.remove(id);
+        ended(gone);
+        return Optional.ofNullable(gone).map(WorkerState::entry);
+    }
+
+    private void ended(WorkerState worker) {
+        if (worker != null) {
+            byIncarnation.remove(worker.incarnation());
+            limits.forget(worker.incarnation());
+        }
     }
 
     /**
@@ -178,11 +192,34 @@
         boolean few = suspects.size() <= MOST_SUSPECTED * serving.size();
         return serving.stream()
                 .filter(worker -> !except.contains(worker.entry().id()))
-                .map(worker -> worker.load(
-                        nowNanos, few && suspects.contains(worker), worker.intake(coldStart, shareHolders, nowNanos)))
+                .map(worker ->
+                        worker.load(nowNanos, few && suspects.contains(worker), intake(worker, coldStart, nowNanos)))
                 .toList();
     }
 
+    private Intake intake(WorkerState worker, ColdStart coldStart, long nowNanos) {
+        return worker.intake(coldStart, limits.limit(worker.incarnation()), shareHolders, nowNanos);
+    }
+
+    /**
+     * How many requests a second workers said that they take.
+     *
+     * @return the limits of all upstreams
+     */
+    public WorkerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Finds a worker by what processes call it.
+     *
+     * @param incarnation the name of this start of it
+     * @return its state; empty if it is not published
+     */
+    public Optional<WorkerState> started(int incarnation) {
+        return Optional.ofNullable(byIncarnation.get(incarnation));
+    }
+
     /**
      * Workers that have requests of this process under which a worker crashed before.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/RateShare.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/RateShare.java
@@ -16,6 +16,12 @@
 public record RateShare(int holders, int requests, long windowNanos) {
     private static final long SECOND_NANOS = 1_000_000_000L;
 
+    /** The least mean rate: a worker that takes nothing is still asked now and then, so that its next word is heard. */
+    private static final double LEAST_MEAN = 0.25;
+
+    /** Holders beyond the whole requests in a second: more processes can use the worker, each of them less often. */
+    private static final int SPARE_HOLDERS = 3;
+
     /**
      * Shares out what a worker bears in any second.
      *
@@ -29,4 +35,19 @@
         long window = perSecond < 1 ? (long) (SECOND_NANOS / perSecond) : SECOND_NANOS;
         return new RateShare(holders, whole / holders, window);
     }
+
+    /**
+     * Shares out what a worker takes on average, all of it. In a short time it may get one window's requests of every
+     * holder beside that.
+     *
+     * @param perSecond what it takes in a second, not negative
+     * @param processes processes of the fleet, at least 1
+     * @return the shares; their sum is what it takes, or one request in four seconds where that is less
+     */
+    public static RateShare ofMean(double perSecond, int processes) {
+        double rate = Math.max(LEAST_MEAN, perSecond);
+        int holders = (int) Math.min(processes, Math.floor(rate) + SPARE_HOLDERS);
+        int requests = (int) Math.min(Integer.MAX_VALUE, Math.ceil(rate / holders));
+        return new RateShare(holders, requests, (long) (SECOND_NANOS * (holders * (double) requests / rate)));
+    }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/SentWindow.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/SentWindow.java
@@ -8,8 +8,8 @@
  * well: it may have been so already when they came.
  */
 public final class SentWindow {
-    /** The usual window. Of longer ones, which allow one request, only the last one need be known. */
-    private static final long KEPT_NANOS = 1_000_000_000L;
+    /** No window that allows several requests is longer. Of others only the last request need be known. */
+    private static final long KEPT_NANOS = 2_000_000_000L;
 
     private final Deque<Long> sentNanos = new ArrayDeque<>();
 
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/rate/RateShareTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/rate/RateShareTest.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
+import org.assertj.core.data.Percentage;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -53,4 +55,42 @@
             assertThat(sent.get(i + share.requests()) - sent.get(i)).isGreaterThanOrEqualTo(share.windowNanos());
         }
     }
+
+    @Property(seed = "20261203")
+    void theMeanSharesAddUpToWhatAWorkerTakes(
+            @ForAll @DoubleRange(min = 0, max = 1_000) double perSecond,
+            @ForAll @IntRange(min = 1, max = 400) int processes) {
+        RateShare share = RateShare.ofMean(perSecond, processes);
+        assertThat(share.holders()).isBetween(1, processes);
+        double sum = share.holders() * share.requests() * (double) SECOND / share.windowNanos();
+        assertThat(sum).isCloseTo(Math.max(0.25, perSecond), Percentage.withPercentage(0.001));
+    }
+
+    // All holders send as fast as they may, from whatever moment on. Over four seconds a worker has to get no more than
+    // one
+    // and a half times its limit, and five requests.
+    @Property(seed = "20261203", tries = 300)
+    void allHoldersTogetherKeepAWorkersLimit(
+            @ForAll @DoubleRange(min = 0, max = 40) double perSecond,
+            @ForAll @IntRange(min = 1, max = 100) int processes,
+            @ForAll long seed) {
+        RateShare share = RateShare.ofMean(perSecond, processes);
+        Random random = new Random(seed);
+        List<Long> all = new ArrayList<>();
+        for (int holder = 0; holder < share.holders(); holder++) {
+            SentWindow window = new SentWindow();
+            for (long now = random.nextInt(3_000) * SECOND / 1_000; now < 15 * SECOND; now += 20_000_000L) {
+                if (window.open(share, now)) {
+                    window.sent(now);
+                    all.add(now);
+                }
+            }
+        }
+        for (long start : all) {
+            long count = all.stream()
+                    .filter(at -> at >= start && at - start < 4 * SECOND)
+                    .count();
+            assertThat((double) count).isLessThanOrEqualTo(1.5 * 4 * perSecond + 5);
+        }
+    }
 }
--- /dev/null
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/rate/WorkerLimitsTest.java
@@ -0,0 +1,118 @@
+package org.dotterelcourse.policy.rate;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class WorkerLimitsTest {
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1_000 * MILLI;
+    private static final int WORKER = 7;
+    private static final OptionalDouble NONE = OptionalDouble.empty();
+    private static final OptionalDouble LIMIT = OptionalDouble.of(1.3);
+
+    private final WorkerLimits limits = new WorkerLimits();
+
+    @Test
+    void aWorkerThatNeverNamedALimitIsNoNews() {
+        assertThat(limits.said(WORKER, NONE, 0)).isFalse();
+        assertThat(limits.told(new LimitNotice(WORKER, NONE, 0), 0)).isFalse();
+        assertThat(limits.takeNotices(0)).isEmpty();
+    }
+
+    @Test
+    void newsIsToldThriceAndALimitOnceASecondAfterThat() {
+        limits.takeNotices(0);
+        assertThat(limits.said(WORKER, LIMIT, 0)).isTrue();
+        assertThat(limits.said(WORKER, LIMIT, MILLI)).isFalse();
+        int told = 0;
+        for (long now = 0; now < SECOND; now += 100 * MILLI) {
+            told += limits.takeNotices(now).isEmpty() ? 0 : 1;
+        }
+        assertThat(told).isEqualTo(3);
+        assertThat(limits.takeNotices(2 * SECOND)).hasSize(1);
+        assertThat(limits.takeNotices(2 * SECOND + 100 * MILLI)).isEmpty();
+    }
+
+    @Test
+    void theWorkersNewestWordCountsInWhicheverOrderNewsComes() {
+        assertThat(limits.told(new LimitNotice(WORKER, LIMIT, 100), SECOND)).isTrue();
+        assertThat(limits.told(new LimitNotice(WORKER, NONE, 500), SECOND)).isFalse();
+        assertThat(limits.limit(WORKER)).isEqualTo(LIMIT);
+        assertThat(limits.told(new LimitNotice(WORKER, NONE, 20), SECOND)).isTrue();
+        assertThat(limits.told(new LimitNotice(WORKER, LIMIT, 50), SECOND)).isFalse();
+        assertThat(limits.limit(WORKER)).isEmpty();
+    }
+
+    @Test
+    void aPeerThatIsBehindIsToldAgain() {
+        limits.said(WORKER, LIMIT, 0);
+        limits.said(WORKER, NONE, SECOND);
+        for (int i = 0; i < 5; i++) {
+            limits.takeNotices(SECOND);
+        }
+        assertThat(limits.takeNotices(SECOND)).isEmpty();
+        limits.told(new LimitNotice(WORKER, LIMIT, 3_000), 3 * SECOND);
+        assertThat(limits.takeNotices(3 * SECOND))
+                .singleElement()
+                .satisfies(notice -> assertThat(notice.perSecond()).isEmpty());
+    }
+
+    @Test
+    void aNewPeerIsToldAtOnceWhichWorkersNameALimit() {
+        limits.said(WORKER, LIMIT, 0);
+        for (int i = 0; i < 5; i++) {
+            limits.takeNotices(MILLI);
+        }
+        assertThat(limits.takeNotices(MILLI)).isEmpty();
+        limits.peersChanged();
+        assertThat(limits.takeNotices(MILLI)).hasSize(1);
+    }
+
+    // Guards against a limit that peers hand round until it seems newer than the worker's word that it has ended.
+    @Property(seed = "20261203", tries = 200)
+    void peersAgreeOnTheLastWordThoughMessagesAreLateAndLost(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<WorkerLimits> fleet = List.of(new WorkerLimits(), new WorkerLimits(), new WorkerLimits());
+        List<Message> underWay = new ArrayList<>();
+        OptionalDouble last = NONE;
+        for (long now = 0; now < 20 * SECOND; now += 50 * MILLI) {
+            if (now < 10 * SECOND && now % SECOND == 0) {
+                WorkerLimits process = fleet.get(random.nextInt(3));
+                OptionalDouble named = random.nextBoolean() ? NONE : OptionalDouble.of(1 + random.nextInt(3));
+                boolean counts = named.isPresent() || process.limit(WORKER).isPresent();
+                process.said(WORKER, named, now);
+                last = counts ? named : last;
+            }
+            exchange(fleet, underWay, random, now);
+        }
+        for (WorkerLimits process : fleet) {
+            assertThat(process.limit(WORKER)).isEqualTo(last);
+        }
+    }
+
+    private record Message(int to, LimitNotice notice, long atNanos) {}
+
+    private static void exchange(List<WorkerLimits> fleet, List<Message> underWay, Random random, long now) {
+        underWay.stream()
+                .filter(message -> message.atNanos() <= now)
+                .forEach(message -> fleet.get(message.to()).told(message.notice(), now));
+        underWay.removeIf(message -> message.atNanos() <= now);
+        for (int from = 0; from < fleet.size(); from++) {
+            for (LimitNotice notice : fleet.get(from).takeNotices(now)) {
+                for (int to = 0; to < fleet.size(); to++) {
+                    if (to != from && random.nextInt(4) > 0) {
+                        underWay.add(new Message(to, notice, now + random.nextInt(20) * MILLI));
+                    }
+                }
+            }
+        }
+    }
+}
