Positions in the store's history are compared with its era

What callers saw: a request at a worker 3.5 s after it had said that it leaves, keys that were taken away still served and new configurations not in force for up to 2.7 s, after the platform's store had come back from a copy.

Cause: revisions were taken for a clock that never goes back. After the store's return from a copy they do: whole reads were ignored as older than what was known, waiting calls from the known revision got 410, both 35 times a second, and what was written until the store had given out the known revision again was missed, by those who rely on peers for good. Class of fault: ordering by a counter whose epoch is not part of it.

Now a position is era and revision, in what is known, in reads, in what processes tell and ask each other. A new era is read whole; what has changed against the era before is passed on to peers as changes that lead from one position to the other. What a copy may bring back or lack is in doubt: a configuration's number never falls (as before), a worker that leaves does so until it ends, entries that are missing are kept for 1.9 s as after any outage, and one that was deleted before and comes back with the copy waits for 5 s, or until its worker writes it again.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -25,6 +25,7 @@
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.published.Publications;
 import org.dotterelcourse.gateway.published.StoreDuty;
+import org.dotterelcourse.gateway.published.StorePosition;
 import org.dotterelcourse.gateway.workers.PeerLoads;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.rate.LimitNotice;
@@ -263,7 +264,8 @@
             long now) {
         FleetProtos.LoadReport.Builder report = FleetProtos.LoadReport.newBuilder()
                 .setKind(kind)
-                .setRevision(publications.revision())
+                .setRevision(publications.position().revision())
+                .setEra(publications.position().era())
                 .setWorkers(LoadCodec.encode(loads));
         for (StoreDuty.Follower follower : publications.duty().followers(now)) {
             report.addFollowers(follower.id())
@@ -318,7 +320,7 @@
         work(peer, scope, report, now);
         places(scope, report, now);
         followers(report, now);
-        relay.heard(peer, report.getRevision());
+        relay.heard(peer, new StorePosition(report.getEra(), report.getRevision()));
     }
 
     private static PeerLoads.Scope scope(FleetProtos.LoadReport.Kind kind) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
@@ -17,6 +17,7 @@
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.published.Publications;
 import org.dotterelcourse.gateway.published.PublishedItem;
+import org.dotterelcourse.gateway.published.StorePosition;
 import org.jboss.logging.Logger;
 
 /**
@@ -42,7 +43,7 @@
     private Peers peers;
     private PeerTransport transport;
     private boolean asking;
-    private long highestHeard;
+    private StorePosition highestHeard = StorePosition.NONE;
 
     @Override
     public ServiceName<ItemRelay> name() {
@@ -75,42 +76,44 @@
     }
 
     /**
-     * A peer has told which revision it knows.
+     * A peer has told up to which position it knows everything.
      *
      * @param peer its name
-     * @param revision the revision
+     * @param position the position
      */
-    void heard(String peer, long revision) {
-        highestHeard = Math.max(highestHeard, revision);
-        boolean behind = publications.revision() < highestHeard;
+    void heard(String peer, StorePosition position) {
+        highestHeard = position.isAfter(highestHeard) ? position : highestHeard;
+        boolean behind = highestHeard.isAfter(publications.position());
         publications.duty().behind(behind, loop.nowNanos());
         if (behind && !asking) {
             asking = true;
-            loop.after(BEHIND_MILLIS, () -> askIfBehind(peer, revision));
+            loop.after(BEHIND_MILLIS, () -> askIfBehind(peer, position));
         }
     }
 
-    private void askIfBehind(String peer, long revision) {
+    private void askIfBehind(String peer, StorePosition position) {
         asking = false;
-        if (publications.revision() < revision) {
+        if (position.isAfter(publications.position())) {
             FleetProtos.ItemsRequest request = FleetProtos.ItemsRequest.newBuilder()
-                    .setRevision(publications.revision())
+                    .setRevision(publications.position().revision())
+                    .setEra(publications.position().era())
                     .build();
             peers.send(peer, ITEMS_REQUEST, request.toByteArray());
         }
     }
 
     private void itemsWanted(String peer) {
-        FleetProtos.Items items = encode(publications.live(), publications.revision())
+        FleetProtos.Items items = encode(publications.live(), publications.position())
                 .setHoldMillis((int) publications.holdMillis())
                 .build();
         peers.send(peer, ITEMS, items.toByteArray());
     }
 
     /** Changes that this process has read from the store go to its data centre and to one process of each other one. */
-    private void push(List<PublishedItem> changes, long after, long upTo) {
+    private void push(List<PublishedItem> changes, StorePosition after, StorePosition upTo) {
         byte[] body = encode(changes, upTo)
-                .setAfter(after)
+                .setAfter(after.revision())
+                .setAfterEra(after.era())
                 .setHoldMillis((int) publications.holdMillis())
                 .build()
                 .toByteArray();
@@ -144,8 +147,9 @@
         return peers.view().stream().anyMatch(member -> member.name().equals(peer) && !near(member));
     }
 
-    private static FleetProtos.Items.Builder encode(List<PublishedItem> published, long revision) {
-        FleetProtos.Items.Builder items = FleetProtos.Items.newBuilder().setRevision(revision);
+    private static FleetProtos.Items.Builder encode(List<PublishedItem> published, StorePosition position) {
+        FleetProtos.Items.Builder items =
+                FleetProtos.Items.newBuilder().setRevision(position.revision()).setEra(position.era());
         for (PublishedItem item : published) {
             items.addItems(FleetProtos.Item.newBuilder()
                     .setKey(item.key())
@@ -169,13 +173,16 @@
                         item.getKey(), item.getValue().toByteArray(), item.getRevision(), item.getDeleted()))
                 .toList();
         publications.hold(items.getHoldMillis());
+        StorePosition position = new StorePosition(items.getEra(), items.getRevision());
         if (items.hasAfter()) {
-            boolean news = publications.relayed(published, items.getAfter(), items.getRevision());
-            if (news && far(peer) && plan().relay()) {
+            boolean ahead = position.isAfter(publications.position());
+            StorePosition after = new StorePosition(items.getAfterEra(), items.getAfter());
+            boolean news = publications.relayed(published, after, position);
+            if ((news || ahead) && far(peer) && plan().relay()) {
                 sendNear(body);
             }
         } else {
-            publications.state(published, items.getRevision());
+            publications.state(published, position);
         }
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
@@ -24,6 +24,12 @@
     /** Live workers are back within two seconds of the store's return; the bound on new work at a leaving one is two. */
     private static final long HOLD_MILLIS = 1_900;
 
+    /**
+     * How long an entry that had been deleted is left out after it has come back with a copy. One that nobody renews runs
+     * out in this time.
+     */
+    private static final long COPIED_MILLIS = 5_000;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final PublishedItems items = new PublishedItems();
@@ -41,10 +47,10 @@
          * Changes were read.
          *
          * @param changes the changes
-         * @param after the revision that they follow
-         * @param upTo the revision up to which they are complete
+         * @param after the position that they follow
+         * @param upTo the position up to which they are complete
          */
-        void read(List<PublishedItem> changes, long after, long upTo);
+        void read(List<PublishedItem> changes, StorePosition after, StorePosition upTo);
     }
 
     /**
@@ -82,12 +88,12 @@
     }
 
     /**
-     * The revision up to which everything is known.
+     * The position up to which everything is known.
      *
-     * @return 0 before the first whole state
+     * @return {@link StorePosition#NONE} before the first whole state
      */
-    public long revision() {
-        return items.revision();
+    public StorePosition position() {
+        return items.position();
     }
 
     /**
@@ -147,10 +153,10 @@
      * Changes were read from the store.
      *
      * @param changes the changes
-     * @param after the revision that they follow, one that was known
-     * @param upTo the revision up to which they are complete
+     * @param after the position that they follow, one that was known
+     * @param upTo the position up to which they are complete
      */
-    public void changes(List<PublishedItem> changes, long after, long upTo) {
+    public void changes(List<PublishedItem> changes, StorePosition after, StorePosition upTo) {
         apply(items.merge(changes, after, upTo));
         if (!changes.isEmpty()) {
             readListener.read(changes, after, upTo);
@@ -161,35 +167,60 @@
      * Changes came from a peer; some may be missing before them.
      *
      * @param changes the changes
-     * @param after the revision that they follow
-     * @param upTo the revision up to which they are complete
+     * @param after the position that they follow
+     * @param upTo the position up to which they are complete
      * @return whether any of them was new
      */
-    public boolean relayed(List<PublishedItem> changes, long after, long upTo) {
-        List<PublishedItem> news = items.merge(changes, after, upTo);
+    public boolean relayed(List<PublishedItem> changes, StorePosition after, StorePosition upTo) {
+        List<ItemChange> news = items.merge(changes, after, upTo);
         apply(news);
         return !news.isEmpty();
     }
 
     /**
-     * A whole state was read, from the store or a peer.
+     * The whole state was read from the store. Peers are told what has changed in it.
      *
      * @param state all items
-     * @param at its revision
+     * @param at its position
      */
-    public void state(List<PublishedItem> state, long at) {
-        apply(items.replace(state, at));
-        if (!complete && at > 0) {
-            complete = true;
-            decoder.complete();
+    public void read(List<PublishedItem> state, StorePosition at) {
+        StorePosition before = items.position();
+        boolean known = before.revision() > 0;
+        if (known && at.era() > before.era()) {
+            storeBack();
+        }
+        List<PublishedItem> news = state(state, at);
+        if (known && !news.isEmpty()) {
+            readListener.read(news, before, at);
         }
     }
 
-    private void apply(List<PublishedItem> news) {
-        for (PublishedItem item : news) {
-            long heldNanos = holdUntilNanos - loop.nowNanos();
-            if (item.deleted() && heldNanos > 0 && decoder.renewed(item.key())) {
-                loop.after(heldNanos / NANOS_PER_MILLI + 1, () -> deleteUnlessBack(item));
+    /**
+     * A whole state is known, from the store or a peer.
+     *
+     * @param state all items
+     * @param at its position
+     * @return what has changed in it
+     */
+    public List<PublishedItem> state(List<PublishedItem> state, StorePosition at) {
+        List<ItemChange> news = items.replace(state, at);
+        apply(news);
+        if (!complete && at.revision() > 0) {
+            complete = true;
+            decoder.complete();
+        }
+        return news.stream().map(ItemChange::item).toList();
+    }
+
+    private void apply(List<ItemChange> news) {
+        for (ItemChange change : news) {
+            PublishedItem item = change.item();
+            boolean renewed = decoder.renewed(item.key());
+            long heldMillis = holdMillis();
+            if (item.deleted() && heldMillis > 0 && (renewed || change.doubtful())) {
+                loop.after(heldMillis + 1, () -> deleteUnlessBack(item));
+            } else if (!item.deleted() && renewed && change.doubtful()) {
+                loop.after(COPIED_MILLIS, () -> addUnlessGone(item));
             } else {
                 decoder.changed(item, loop.nowNanos());
             }
@@ -197,8 +228,13 @@
     }
 
     private void deleteUnlessBack(PublishedItem item) {
-        boolean back = items.live().stream().anyMatch(live -> live.key().equals(item.key()));
-        if (!back) {
+        if (!items.exists(item.key())) {
+            decoder.changed(item, loop.nowNanos());
+        }
+    }
+
+    private void addUnlessGone(PublishedItem item) {
+        if (items.live().contains(item)) {
             decoder.changed(item, loop.nowNanos());
         }
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
@@ -25,6 +25,17 @@
         int slots,
         boolean leaving,
         long coldMillis) {
+    /**
+     * The same worker as one that takes no new work.
+     *
+     * @return this entry if it says so already
+     */
+    public WorkerEntry toLeaving() {
+        return leaving
+                ? this
+                : new WorkerEntry(id, startMillis, upstream, host, port, dataCentre, slots, true, coldMillis);
+    }
+
     /**
      * Where it listens.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -49,7 +49,8 @@
     /**
      * A worker is published, or what is published of it has changed. Where it has started again under its name, nothing
      * that was known of it holds any more: what it had in flight, what it had read and how often it failed was another
-     * process's. What is published late of an earlier start changes nothing.
+     * process's. What is published late of an earlier start changes nothing. A worker that leaves does so until it ends,
+     * whatever an older copy of its entry says.
      *
      * @param entry the worker
      * @param nowNanos the time
@@ -62,7 +63,7 @@
         holdersKnown = false;
         WorkerState current = known;
         if (known != null && entry.incarnation() == known.incarnation()) {
-            known.entry(entry);
+            known.entry(known.entry().leaving() ? entry.toLeaving() : entry);
         } else {
             current = new WorkerState(entry, nextOrder++);
             ended(byId.put(entry.id(), current));
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/PublishedItemsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/PublishedItemsTest.java
@@ -19,17 +19,17 @@
     // revoked key must not come back.
     @Test
     void anOldReadDoesNotBringBackWhatWasChanged() {
-        items.merge(List.of(item("op", 5)), 5);
-        assertThat(items.merge(List.of(item("op", 4)), 4)).isEmpty();
-        assertThat(items.replace(List.of(item("op", 3)), 3)).isEmpty();
-        assertThat(items.revision()).isEqualTo(5);
+        merge(items, List.of(item("op", 5)), 5);
+        assertThat(merge(items, List.of(item("op", 4)), 4)).isEmpty();
+        assertThat(replace(List.of(item("op", 3)), 3)).isEmpty();
+        assertThat(items.position().revision()).isEqualTo(5);
         assertThat(items.live()).containsExactly(item("op", 5));
     }
 
     @Test
     void whatAWholeStateLacksWasDeleted() {
-        items.merge(List.of(item("a", 1), item("b", 2)), 2);
-        List<PublishedItem> news = items.replace(List.of(item("b", 2)), 9);
+        merge(items, List.of(item("a", 1), item("b", 2)), 2);
+        List<PublishedItem> news = replace(List.of(item("b", 2)), 9);
         assertThat(news).hasSize(1);
         assertThat(news.get(0).key()).isEqualTo("a");
         assertThat(news.get(0).deleted()).isTrue();
@@ -38,10 +38,10 @@
 
     @Test
     void aDeletedItemThatIsPublishedAnewIsThereAgain() {
-        items.merge(List.of(item("a", 1)), 1);
-        items.merge(List.of(new PublishedItem("a", new byte[0], 2, true)), 2);
+        merge(items, List.of(item("a", 1)), 1);
+        merge(items, List.of(new PublishedItem("a", new byte[0], 2, true)), 2);
         assertThat(items.live()).isEmpty();
-        assertThat(items.merge(List.of(item("a", 3)), 3)).hasSize(1);
+        assertThat(merge(items, List.of(item("a", 3)), 3)).hasSize(1);
         assertThat(items.live()).containsExactly(item("a", 3));
     }
 
@@ -50,11 +50,11 @@
     // lost must still be asked for.
     @Test
     void aChangeWithAGapBeforeItIsTakenAndTheGapStaysKnown() {
-        items.replace(List.of(item("op", 5), item("w", 4)), 5);
-        assertThat(items.merge(List.of(item("op", 9)), 8, 9)).containsExactly(item("op", 9));
-        assertThat(items.revision()).isEqualTo(5);
-        assertThat(items.merge(List.of(item("w", 7), item("op", 9)), 5, 9)).containsExactly(item("w", 7));
-        assertThat(items.revision()).isEqualTo(9);
+        replace(List.of(item("op", 5), item("w", 4)), 5);
+        assertThat(merge(items, List.of(item("op", 9)), 8, 9)).containsExactly(item("op", 9));
+        assertThat(items.position().revision()).isEqualTo(5);
+        assertThat(merge(items, List.of(item("w", 7), item("op", 9)), 5, 9)).containsExactly(item("w", 7));
+        assertThat(items.position().revision()).isEqualTo(9);
     }
 
     @Property(tries = 300, seed = "7")
@@ -64,7 +64,7 @@
         for (int change : changes) {
             String key = "k" + change % 4;
             PublishedItem item = new PublishedItem(key, new byte[] {1}, change, change % 3 == 0);
-            merged.merge(List.of(item), change);
+            merge(merged, List.of(item), change);
             highest.merge(key, (long) change, Math::max);
             for (PublishedItem live : merged.live()) {
                 assertThat(live.revision()).isEqualTo(highest.get(live.key()));
@@ -72,6 +72,23 @@
         }
     }
 
+    private static List<PublishedItem> merge(PublishedItems into, List<PublishedItem> changes, long upTo) {
+        return merge(into, changes, into.position().revision(), upTo);
+    }
+
+    private static List<PublishedItem> merge(PublishedItems into, List<PublishedItem> changes, long after, long upTo) {
+        return plain(into.merge(changes, new StorePosition(0, after), new StorePosition(0, upTo)));
+    }
+
+    private List<PublishedItem> replace(List<PublishedItem> state, long at) {
+        return plain(items.replace(state, new StorePosition(0, at)));
+    }
+
+    private static List<PublishedItem> plain(List<ItemChange> changes) {
+        assertThat(changes).noneMatch(ItemChange::doubtful);
+        return changes.stream().map(ItemChange::item).toList();
+    }
+
     private static PublishedItem item(String key, long revision) {
         return new PublishedItem(key, new byte[] {(byte) revision}, revision, false);
     }
