While the thread is behind, requests go on a few at a time with a look at connections in between

Requests that were read together each waited for one timer of a millisecond, which is due when reading has ended: the thread ran them all, some hundred milliseconds each in its first second, before it looked at any connection again. The look that the timer was to bring did not come.

Now Turns lets requests go on for 20 ms, or one that takes longer, and looks at all connections before the next; a timer set by a timer runs only after such a look. While the thread keeps up, nothing changes.

PlatformOverloadTest's new test failed before (more than six of twelve requests at the worker, where at most a few were sent before their clients left) and passes. Tried first and given up as a test: many requests read at once without slow sending, failed in 2 of 8 runs.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientsEdge.java
@@ -36,18 +36,12 @@
     /** The name that it is found by. */
     public static final ServiceName<ClientsEdge> NAME = new ServiceName<>("clients-edge", ClientsEdge.class);
 
-    /** Above this the thread is behind: well above how late its timers usually are, and below the time clients wait. */
-    private static final long BEHIND_MILLIS = 100;
-
     /**
      * Most that a request is taken to have waited. After a pause of the whole process its last timer was later by far than
      * most requests that come then.
      */
     private static final long MOST_WAITED_MILLIS = 1_000;
 
-    /** The shortest time after which a timer runs only when all connections have been looked at. */
-    private static final Duration NEXT_LOOK = Duration.ofMillis(1);
-
     private static final OwnAnswer TOO_LARGE = new OwnAnswer(413, "the body is too long", 0);
 
     /** Twice what clients may send by the published limits, so that those, not the parser, decide. */
@@ -64,6 +58,7 @@
     private final InFlight inFlight = new InFlight();
     private GatewayLoop loop;
     private GatewayState state;
+    private Turns turns;
     private Forwarder forwarder;
     private DisposableServer server;
     private volatile Phase phase = Phase.SERVING;
@@ -112,6 +107,7 @@
     public List<StartFinding> start(Kernel kernel) {
         loop = kernel.find(GatewayLoop.NAME);
         state = kernel.find(GatewayState.NAME);
+        turns = new Turns(loop);
         forwarder = kernel.find(Forwarder.NAME);
         try {
             server = HttpServer.create()
@@ -170,7 +166,7 @@
         return Mono.defer(() -> {
                     inFlight.enter();
                     return body(request)
-                            .flatMap(this::whileClientsLeave)
+                            .flatMap(body -> turns.next().thenReturn(body))
                             .flatMap(body -> serve(request, response, body, arrivalNanos, log));
                 })
                 .takeUntilOther(gone(request))
@@ -202,17 +198,6 @@
         }));
     }
 
-    /**
-     * Lets the thread look at all connections once more where it is behind. The client may have waited so long that it has
-     * given up: its close stands behind the request that was just read, and the worker would be given work that nobody
-     * waits for.
-     */
-    private Mono<byte[]> whileClientsLeave(byte[] body) {
-        return loop.lateMillis() < BEHIND_MILLIS
-                ? Mono.just(body)
-                : Mono.just(body).delayElement(NEXT_LOOK, loop.scheduler());
-    }
-
     private Mono<byte[]> body(HttpServerRequest request) {
         int most = state.table().map(table -> table.limits().maxBodyBytes()).orElse(MAX_HEADER_BYTES);
         return new BoundedBody(most).collect(request.receive());
