An entry that waits while the store goes back again is used when its time has come

Found by reading the change: the entry that came back with a copy was looked for unchanged after its 5 s. In a further era it is no news, but its revision is that of the new position where a peer told of it, so that it was not found and its worker stayed unused for good. It is found by its key now. StoreBackFromCopyTest's new test failed before (a worker unused for 30 s) and passes.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
@@ -220,7 +220,7 @@
             if (item.deleted() && heldMillis > 0 && (renewed || change.doubtful())) {
                 loop.after(heldMillis + 1, () -> deleteUnlessBack(item));
             } else if (!item.deleted() && renewed && change.doubtful()) {
-                loop.after(COPIED_MILLIS, () -> addUnlessGone(item));
+                loop.after(COPIED_MILLIS, () -> addUnlessGone(item.key()));
             } else {
                 decoder.changed(item, loop.nowNanos());
             }
@@ -228,14 +228,12 @@
     }
 
     private void deleteUnlessBack(PublishedItem item) {
-        if (!items.exists(item.key())) {
+        if (items.find(item.key()).isEmpty()) {
             decoder.changed(item, loop.nowNanos());
         }
     }
 
-    private void addUnlessGone(PublishedItem item) {
-        if (items.live().contains(item)) {
-            decoder.changed(item, loop.nowNanos());
-        }
+    private void addUnlessGone(String key) {
+        items.find(key).ifPresent(item -> decoder.changed(item, loop.nowNanos()));
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/PublishedItems.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/PublishedItems.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -96,11 +97,10 @@
      * Finds an item.
      *
      * @param key its key
-     * @return whether it exists
+     * @return the item, empty if it doesn't exist
      */
-    public boolean exists(String key) {
-        PublishedItem item = items.get(key);
-        return item != null && !item.deleted();
+    public Optional<PublishedItem> find(String key) {
+        return Optional.ofNullable(items.get(key)).filter(item -> !item.deleted());
     }
 
     private List<ItemChange> take(List<PublishedItem> changes) {
