Log what workers state in answers: how long to send nothing, and that they leave

Change: WorkerStatementDecoder reads Server-Limit, Retry-After with status 503 and Server-Leaving of an answer; WorkerStatementHandler applies them in one place as soon as the headers are there. New audit lines: BACKOFF, and UPSTREAM with the cause 'stated in an answer'. No decision uses either of them yet. Values are checked: several limits give the lowest, several Retry-Afters the longest; a Retry-After over an hour counts as an hour, so that a wrong value does not take a worker out of use for good; an answer with 421 comes from another worker at the address and states nothing. What is ignored is logged at most once in 10 s for each worker and header, since each line costs time.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
@@ -29,6 +29,8 @@
         QUARANTINE,
         /** The number of requests per second that a worker accepts. */
         LIMIT,
+        /** The time for which a worker has asked this process to send it nothing. */
+        BACKOFF,
         /** The shutdown of this process. */
         DRAINING,
         /** An order sent to an engine. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -255,6 +255,32 @@
         }
     }
 
+    /**
+     * Records that a worker has asked this process in a response to send it nothing for a time.
+     *
+     * @param worker the worker that sent the response
+     * @param millis the time in milliseconds from now
+     * @param nowNanos current monotonic time in nanoseconds
+     */
+    public void recordWorkerBackoff(WorkerEntry worker, long millis, long nowNanos) {
+        if (workers.backoffs().extend(worker.incarnation(), millis, nowNanos)) {
+            audit.add(AuditEvent.Kind.BACKOFF, worker.id(), "asked in an answer", "none", millis + " ms");
+        }
+    }
+
+    /**
+     * Records that a worker has stated in a response that it is leaving.
+     *
+     * @param worker the worker that sent the response
+     * @param nowNanos current monotonic time in nanoseconds
+     */
+    public void recordWorkerLeaving(WorkerEntry worker, long nowNanos) {
+        if (workers.leavingWorkers().add(worker.incarnation(), nowNanos)) {
+            String after = describe(worker.toLeaving());
+            audit.add(AuditEvent.Kind.UPSTREAM, worker.id(), "stated in an answer", describe(worker), after);
+        }
+    }
+
     /**
      * Applies a peer's notice of the request rate limit of a worker. Ignored if the worker is not yet published here;
      * peers repeat their notices.
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Dialect.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Dialect.java
@@ -1,7 +1,6 @@
 package org.dotterelcourse.gateway.forward;
 
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -91,12 +90,13 @@
     boolean isNotExecuted(int status, HttpHeaders headers);
 
     /**
-     * Returns the request rate that a worker accepts from all router processes together.
+     * Returns what a worker states about itself in a response.
      *
+     * @param status the HTTP status code of the response
      * @param headers the response headers
-     * @return the limit in requests per second, not negative; empty if the worker sets none
+     * @return the statement, with the values that are ignored because they are not valid in such a response
      */
-    OptionalDouble requestLimitPerSecond(HttpHeaders headers);
+    WorkerStatement workerStatement(int status, HttpHeaders headers);
 
     /**
      * Returns the header by which a request resumes a stream after the last event received.
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 
@@ -51,6 +50,7 @@
     private WorkerSelection selection;
     private EngineQueues queues;
     private AttemptFailureHandler failureHandler;
+    private WorkerStatementHandler statementHandler;
 
     /**
      * Creates a forwarder.
@@ -80,6 +80,7 @@
         state = kernel.find(GatewayState.NAME);
         client = new WorkerClient(loop);
         failureHandler = new AttemptFailureHandler(loop, state);
+        statementHandler = new WorkerStatementHandler(dialect, validator, state);
         RandomGenerator random = RandomGenerator.getDefault();
         selection = new WorkerSelection(dataCentre, state, random);
         queues = new EngineQueues(loop, state, selection, random);
@@ -162,7 +163,7 @@
     }
 
     private Mono<Reply> handleResponse(Call call, Placement placement, StreamedResponse response) {
-        updateRequestLimit(call, placement, response);
+        statementHandler.handle(call, placement.entry(), response, loop.nowNanos());
         if (validator.isStreamable(call, response)) {
             Flux<byte[]> events = relay(call, placement, response).takeUntilOther(deadline(call));
             return Mono.just(new Reply.Streamed(response.status(), response.headers(), events));
@@ -174,18 +175,6 @@
                         handleResult(call, placement, validator.classify(call, buffered), Optional.empty()));
     }
 
-    /**
-     * Applies the rate limit that the worker states in its response. A stated limit is applied with any status, but its
-     * absence removes the limit only if the response is a stamped success.
-     */
-    private void updateRequestLimit(Call call, Placement placement, StreamedResponse response) {
-        OptionalDouble limit = dialect.requestLimitPerSecond(response.headers());
-        boolean isStampedSuccess = dialect.hasWorkerStamp(response.headers()) && response.status() / 100 == 2;
-        if (validator.matchesRequest(call, response.headers()) && (limit.isPresent() || isStampedSuccess)) {
-            state.recordWorkerLimit(placement.entry(), limit, loop.nowNanos());
-        }
-    }
-
     /** Fails at the call's deadline, so that the client does not take a stream still in progress for complete. */
     private Mono<Void> deadline(Call call) {
         Duration remaining =
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatement.java
@@ -0,0 +1,27 @@
+package org.dotterelcourse.gateway.forward;
+
+import java.util.List;
+import java.util.OptionalDouble;
+
+/**
+ * What a worker states about itself in the headers of a response. The values are as sent by the worker: decoded, but not
+ * checked against the request.
+ *
+ * @param requestLimitPerSecond requests per second that the worker accepts from all router processes together, not
+ *     negative; empty if it sets no limit
+ * @param backoffMillis how long the worker wants no requests from this process, in milliseconds; 0 if it does not ask for
+ *     that
+ * @param leaving whether the worker is shutting down and takes no new requests
+ * @param ignored values that are not valid or not allowed in this response, and that have no effect
+ */
+public record WorkerStatement(
+        OptionalDouble requestLimitPerSecond, long backoffMillis, boolean leaving, List<IgnoredValue> ignored) {
+    /**
+     * A header value that has no effect.
+     *
+     * @param header the name of the header
+     * @param value the value as sent by the worker
+     * @param reason why it is ignored
+     */
+    public record IgnoredValue(String header, String value, String reason) {}
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 
 import org.dotterelcourse.policy.cold.ColdStart;
+import org.dotterelcourse.policy.rate.WorkerBackoffs;
 import org.dotterelcourse.policy.rate.WorkerLimits;
 import org.dotterelcourse.policy.selection.SendPermission;
 import org.dotterelcourse.policy.selection.WorkerLoad;
@@ -47,6 +48,8 @@
     private Function<String, ColdStart> coldStartByUpstream = upstream -> ColdStart.none();
     private final RateShareHolders rateShareHolders = new RateShareHolders();
     private final WorkerLimits limits = new WorkerLimits();
+    private final WorkerBackoffs backoffs = new WorkerBackoffs();
+    private final LeavingWorkers leavingWorkers = new LeavingWorkers();
     private long nextSequence;
 
     /**
@@ -218,6 +221,24 @@
         return limits;
     }
 
+    /**
+     * Returns the backoffs that workers have asked this process for.
+     *
+     * @return the backoffs of the workers of all upstreams, whether published or not
+     */
+    public WorkerBackoffs backoffs() {
+        return backoffs;
+    }
+
+    /**
+     * Returns the workers that have stated in a response that they are leaving.
+     *
+     * @return the workers of all upstreams, whether published or not
+     */
+    public LeavingWorkers leavingWorkers() {
+        return leavingWorkers;
+    }
+
     /**
      * Finds a worker by its incarnation.
      *
