Send nothing to a worker for the time that it has asked for with 503 and Retry-After

Cause: no decision knew of the rest. The local suspicion after a rejection lasts 0.5 to 4 s, ends early, and is set aside when all workers are suspected.

Change: the rest is kept by incarnation (WorkerBackoffs) and is a permission of its own, BACKING_OFF, in the loads that every selector gets. So first choices, retries, queued calls, the choice among suspected workers and resumed streams leave the worker out; it keeps its rank, so that homes of prompts don't move. Nothing is fetched from it either. Requests under which a worker crashed share a worker if all others rest.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
@@ -130,7 +130,7 @@
             Set<String> excluded = new HashSet<>(call.triedWorkers());
             excluded.addAll(workers.withSuspectRequests());
             List<WorkerLoad> withoutSuspects = workers.candidates(upstream, excluded, nowNanos);
-            if (!withoutSuspects.isEmpty()) {
+            if (withoutSuspects.stream().anyMatch(WorkerLoad::canReceive)) {
                 return withoutSuspects;
             }
         }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -178,7 +179,8 @@
 
     /**
      * Returns the workers that a request may be sent to. Workers are left out if they are leaving, have been replaced
-     * at their address, or run in an evacuated data centre.
+     * at their address, or run in an evacuated data centre. Workers that must get no requests for a time are included,
+     * with a permission that says so.
      *
      * @param upstream name of the upstream
      * @param excluded names of workers to leave out, such as those that had the request already
@@ -209,9 +211,31 @@
     }
 
     private SendPermission sendPermission(WorkerState worker, ColdStart coldStart, long nowNanos) {
+        if (backoffs.remainingMillis(worker.incarnation(), nowNanos) > 0) {
+            return SendPermission.BACKING_OFF;
+        }
         return worker.sendPermission(coldStart, limits.limit(worker.incarnation()), rateShareHolders, nowNanos);
     }
 
+    /**
+     * Returns how long none of an upstream's workers wants requests from this process.
+     *
+     * @param upstream name of the upstream
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return the time in milliseconds until the first worker's backoff ends; empty if a worker has not asked for a
+     *     backoff, or there is no worker that requests may be sent to
+     */
+    public OptionalLong sharedBackoffMillis(String upstream, long nowNanos) {
+        if (backoffs.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        OptionalLong shortest = byId.values().stream()
+                .filter(worker -> worker.entry().upstream().equals(upstream) && isEligible(worker))
+                .mapToLong(worker -> backoffs.remainingMillis(worker.incarnation(), nowNanos))
+                .min();
+        return shortest.isPresent() && shortest.getAsLong() > 0 ? shortest : OptionalLong.empty();
+    }
+
     /**
      * Returns the request rate limits that workers have set.
      *
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/SuspectPlacementTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/SuspectPlacementTest.java
@@ -61,6 +61,21 @@
         }
     }
 
+    // Guards against a rejection while the only workers without a suspect request are backing off.
+    @Test
+    void suspectRequestsShareAWorkerIfAllOthersAreBackingOff() {
+        assertThat(place(suspectCall("id-0"))).isNotEmpty();
+        String used = state.workers().withSuspectRequests().get(0);
+        for (int i = 0; i < ENGINE_COUNT; i++) {
+            if (!used.equals("e-" + i)) {
+                int worker =
+                        state.workers().find("e-" + i).orElseThrow().entry().incarnation();
+                state.workers().backoffs().extend(worker, 3_000, NOW_NANOS);
+            }
+        }
+        assertThat(place(suspectCall("id-1"))).isEqualTo(used);
+    }
+
     private String place(Call call) {
         WorkerSelection.Outcome outcome = selection.place(call, NOW_NANOS);
         return ((WorkerSelection.Outcome.Placed) outcome).placement().entry().id();
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/WorkerBackoffs.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/WorkerBackoffs.java
@@ -35,6 +35,15 @@
         return before == null;
     }
 
+    /**
+     * Returns whether no worker can be in a backoff.
+     *
+     * @return true if no worker has asked for one; false possibly also after the last one has ended
+     */
+    public boolean isEmpty() {
+        return endsNanos.isEmpty();
+    }
+
     /**
      * Returns how long a worker's backoff lasts.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -185,7 +185,8 @@
     private Optional<Source> fetchSource(Prompt prompt, List<WorkerLoad> workers, long nowNanos) {
         Source longest = new Source("", 0);
         for (WorkerLoad worker : workers) {
-            int tokens = worker.suspected() ? 0 : prefixes.fetchableTokens(prompt, worker.incarnation(), nowNanos);
+            int tokens =
+                    worker.canBeFetchedFrom() ? prefixes.fetchableTokens(prompt, worker.incarnation(), nowNanos) : 0;
             longest = tokens > longest.tokens() ? new Source(worker.id(), tokens) : longest;
         }
         return longest.tokens() == 0 || transferCost.millisPerToken() == Double.POSITIVE_INFINITY
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
@@ -31,9 +31,19 @@
     /**
      * Whether this process may send the worker a request.
      *
-     * @return false while the permission is {@link SendPermission#DENIED}
+     * @return false while the permission is {@link SendPermission#DENIED} or {@link SendPermission#BACKING_OFF}
      */
     public boolean canReceive() {
-        return sendPermission != SendPermission.DENIED;
+        return sendPermission.allowsSending();
+    }
+
+    /**
+     * Whether another worker may be told to fetch cached parts of a prompt from this one. A rate limit on requests does
+     * not prevent that.
+     *
+     * @return false while the worker is suspected or has asked this process to send it nothing
+     */
+    public boolean canBeFetchedFrom() {
+        return !suspected && sendPermission != SendPermission.BACKING_OFF;
     }
 }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
@@ -262,13 +262,33 @@
                 .isInstanceOf(SelectionResult.NoCapacity.class);
     }
 
+    // Guards against load on an engine that has asked to back off, through other engines that fetch from it.
+    @Test
+    void anEngineThatIsBackingOffIsNeitherSelectedNorFetchedFrom() {
+        List<WorkerLoad> engines = idle(ENGINES);
+        Prompt prompt = prompt("hot", LatencyClass.DELAY_TOLERANT);
+        String holder = engines.get(0).id();
+        prefixes.recordSent(prompt, engines.get(0).incarnation(), SECOND);
+        assertThat(fetchSource(prompt, withPermission(engines, holder, SendPermission.DENIED), 3 * SECOND))
+                .contains(holder);
+        List<WorkerLoad> backingOff = withPermission(engines, holder, SendPermission.BACKING_OFF);
+        assertThat(fetchSource(prompt, backingOff, 3 * SECOND)).isEmpty();
+        assertThat(selector.select(prompt, backingOff, 3 * SECOND)).isPresent().isNotEqualTo(Optional.of(holder));
+        assertThat(selector.select(prompt, withPermission(idle(1), holder, SendPermission.BACKING_OFF), SECOND))
+                .isEmpty();
+    }
+
     private static List<WorkerLoad> denied(List<WorkerLoad> engines, String id) {
+        return withPermission(engines, id, SendPermission.DENIED);
+    }
+
+    private static List<WorkerLoad> withPermission(List<WorkerLoad> engines, String id, SendPermission permission) {
         return engines.stream()
-                .map(each -> each.id().equals(id) ? denied(each) : each)
+                .map(each -> each.id().equals(id) ? withPermission(each, permission) : each)
                 .toList();
     }
 
-    private static WorkerLoad denied(WorkerLoad engine) {
+    private static WorkerLoad withPermission(WorkerLoad engine, SendPermission permission) {
         return new WorkerLoad(
                 engine.id(),
                 engine.incarnation(),
@@ -279,7 +299,7 @@
                 engine.interactiveStreams(),
                 engine.prefillMillis(),
                 engine.suspected(),
-                SendPermission.DENIED);
+                permission);
     }
 
     private EngineSelector selector(long seed, CachedPrefixes cached) {
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/LeastLoadedSelectorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/LeastLoadedSelectorTest.java
@@ -51,6 +51,17 @@
         assertThat(selector.select("dc", List.of(denied, rateLimited), 0)).contains("open");
     }
 
+    // Guards against a fallback to a worker that has asked to back off, where the others are suspected or full.
+    @Test
+    void aWorkerThatIsBackingOffIsNotSelectedEvenAsALastResort() {
+        WorkerLoad backingOff = load("shedding", "dc", 0, false, SendPermission.BACKING_OFF);
+        assertThat(selector.select("dc", List.of(backingOff), 0)).isEmpty();
+        assertThat(selector.select("dc", List.of(backingOff, load("full", "dc", 6, 30, false)), 0))
+                .isEmpty();
+        assertThat(selector.select("dc", List.of(backingOff, load("bad", "dc", 6, 5, true)), 0))
+                .contains("bad");
+    }
+
     private static WorkerLoad load(String id, String dataCentre, int slots, int inFlight, boolean suspected) {
         return new WorkerLoad(
                 id,
