Reject requests at once, with the time that remains, while all workers want rest

What callers saw: where no worker of an upstream may get a request, those of routes with long targets waited in the queue until they could not end in time, and all were told to come back after 0.25 s, to be refused again.

Change: SharedBackoff finds the shortest time that remains of the upstream's workers. New and queued calls are refused with it, spread over a quarter of it (2 s at most), because clients that return all at once would overload the workers again. The refusal is true: it is given only for a call that no worker may have run. A worker that has not asked for rest, even a full one, keeps the short Retry-After, since its slots turn over in that time.

Tests: SharedBackoffTest, and two in SheddingWorkersTest with plain requests and streams of both classes.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineQueues.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineQueues.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 
 import org.dotterelcourse.gateway.GatewayLoop;
@@ -37,6 +39,7 @@
     private final GatewayLoop loop;
     private final GatewayState state;
     private final WorkerSelection selection;
+    private final SharedBackoff sharedBackoff;
     private final RandomGenerator random;
     private final Map<String, UpstreamQueue<QueuedCall>> queues = new HashMap<>();
     private boolean isPolling;
@@ -62,17 +65,25 @@
         record Dispatched(WorkerSelection.Outcome outcome) implements AdmissionResult {}
 
         /**
-         * The call cannot complete before its deadline, or the process is shutting down.
+         * The call cannot complete before its deadline, all engines have asked to back off, or the process is shutting
+         * down.
          *
+         * @param reason the reason, for the request log
          * @param retryAfterMillis the time in milliseconds after which the client should retry
          */
-        record Rejected(long retryAfterMillis) implements AdmissionResult {}
+        record Rejected(String reason, long retryAfterMillis) implements AdmissionResult {}
     }
 
-    EngineQueues(GatewayLoop loop, GatewayState state, WorkerSelection selection, RandomGenerator random) {
+    EngineQueues(
+            GatewayLoop loop,
+            GatewayState state,
+            WorkerSelection selection,
+            SharedBackoff sharedBackoff,
+            RandomGenerator random) {
         this.loop = loop;
         this.state = state;
         this.selection = selection;
+        this.sharedBackoff = sharedBackoff;
         this.random = random;
     }
 
@@ -89,11 +100,15 @@
 
     /**
      * Places a call at an engine. If no engine has a free slot or other calls are queued, the call is queued, or
-     * rejected if the expected wait is too long for it to complete in time.
+     * rejected if the expected wait is too long for it to complete in time or all engines have asked to back off.
      */
     Mono<AdmissionResult> admit(Call call) {
         return Mono.defer(() -> {
             long nowNanos = loop.nowNanos();
+            Optional<AdmissionResult> rejection = backoffRejection(call, nowNanos);
+            if (rejection.isPresent()) {
+                return Mono.just(rejection.get());
+            }
             UpstreamQueue<QueuedCall> queue = queue(call);
             if (queue.size() == 0) {
                 WorkerSelection.Outcome outcome = selection.placeWithinCapacity(call, nowNanos);
@@ -104,7 +119,7 @@
             }
             if (queue.expectedWaitMillis(nowNanos)
                     > call.remainingMillis(nowNanos) - WorkerSelection.typicalCompletionMillis(call)) {
-                return Mono.just(new AdmissionResult.Rejected(retryAfterMillis(queue, nowNanos)));
+                return Mono.just(tooFull(queue, nowNanos));
             }
             return Mono.create(sink -> enqueue(queue, new QueuedCall(call, sink)));
         });
@@ -143,6 +158,7 @@
         long nowNanos = loop.nowNanos();
         for (UpstreamQueue<QueuedCall> queue : queues.values()) {
             reject(queue, queue.removeExpired(nowNanos), nowNanos);
+            rejectDuringBackoff(queue, nowNanos);
             dispatch(queue, nowNanos);
         }
         isPolling = queues.values().stream().anyMatch(queue -> queue.size() > 0);
@@ -151,6 +167,24 @@
         }
     }
 
+    /** Rejects all calls of a queue if all engines have asked to back off. */
+    private void rejectDuringBackoff(UpstreamQueue<QueuedCall> queue, long nowNanos) {
+        if (queue.peekNext(nowNanos)
+                .flatMap(next -> backoffRejection(next.item().call, nowNanos))
+                .isPresent()) {
+            queue.removeAll()
+                    .forEach(
+                            each -> backoffRejection(each.item().call, nowNanos).ifPresent(each.item().sink::success));
+        }
+    }
+
+    private Optional<AdmissionResult> backoffRejection(Call call, long nowNanos) {
+        OptionalLong millis = sharedBackoff.retryAfterMillis(call, nowNanos);
+        return millis.isPresent()
+                ? Optional.of(new AdmissionResult.Rejected(SharedBackoff.REASON, millis.getAsLong()))
+                : Optional.empty();
+    }
+
     private void dispatch(UpstreamQueue<QueuedCall> queue, long nowNanos) {
         int allowed = queue.peekNext(nowNanos)
                 .map(first -> shareOfFreeSlots(first.item().call, nowNanos))
@@ -183,8 +217,12 @@
     }
 
     private void reject(UpstreamQueue<QueuedCall> queue, List<PendingRequest<QueuedCall>> rejected, long nowNanos) {
-        rejected.forEach(
-                each -> each.item().sink.success(new AdmissionResult.Rejected(retryAfterMillis(queue, nowNanos))));
+        rejected.forEach(each -> each.item().sink.success(tooFull(queue, nowNanos)));
+    }
+
+    private AdmissionResult tooFull(UpstreamQueue<QueuedCall> queue, long nowNanos) {
+        return new AdmissionResult.Rejected(
+                "the engines are too full for an answer in time", retryAfterMillis(queue, nowNanos));
     }
 
     private long retryAfterMillis(UpstreamQueue<QueuedCall> queue, long nowNanos) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 
@@ -49,6 +50,7 @@
     private WorkerClient client;
     private WorkerSelection selection;
     private EngineQueues queues;
+    private SharedBackoff sharedBackoff;
     private AttemptFailureHandler failureHandler;
     private WorkerStatementHandler statementHandler;
 
@@ -83,7 +85,8 @@
         statementHandler = new WorkerStatementHandler(dialect, validator, state);
         RandomGenerator random = RandomGenerator.getDefault();
         selection = new WorkerSelection(dataCentre, state, random);
-        queues = new EngineQueues(loop, state, selection, random);
+        sharedBackoff = new SharedBackoff(state, random);
+        queues = new EngineQueues(loop, state, selection, sharedBackoff, random);
         return List.of();
     }
 
@@ -129,8 +132,7 @@
 
     private Mono<Reply> afterQueue(Call call, EngineQueues.AdmissionResult result) {
         if (result instanceof EngineQueues.AdmissionResult.Rejected rejected) {
-            return Mono.just(new Reply.Local(LocalReply.notExecuted(
-                    "the engines are too full for an answer in time", rejected.retryAfterMillis())));
+            return Mono.just(new Reply.Local(LocalReply.notExecuted(rejected.reason(), rejected.retryAfterMillis())));
         }
         return sendToSelected(call, ((EngineQueues.AdmissionResult.Dispatched) result).outcome(), Optional.empty());
     }
@@ -360,18 +362,22 @@
      * Returns the reply when there are no further attempts: a worker's earlier error response if there is one, otherwise
      * one of the router. It states that the request was not executed only if no attempt may have executed it.
      */
-    private static Reply finalReply(Call call, Optional<BufferedResponse> earlierResponse, String reason) {
+    private Reply finalReply(Call call, Optional<BufferedResponse> earlierResponse, String reason) {
         if (earlierResponse.isPresent()) {
             return toReply(earlierResponse.get());
         }
+        if (call.isPossiblyExecuted()) {
+            return new Reply.Local(LocalReply.possiblyExecuted(reason));
+        }
+        OptionalLong backoff = sharedBackoff.retryAfterMillis(call, loop.nowNanos());
         return new Reply.Local(
-                call.isPossiblyExecuted()
-                        ? LocalReply.possiblyExecuted(reason)
+                backoff.isPresent()
+                        ? LocalReply.notExecuted(SharedBackoff.REASON + ", " + reason, backoff.getAsLong())
                         : LocalReply.notExecuted(reason, RETRY_AFTER_FULL_MILLIS));
     }
 
     /** Rejects a quarantined request, unless a worker has responded to it before or may have executed it. */
-    private static Reply quarantineReply(
+    private Reply quarantineReply(
             Call call, Optional<BufferedResponse> earlierResponse, Verdict.Quarantined quarantined) {
         String reason = "workers crash under this request";
         boolean isNotExecuted = earlierResponse.isEmpty() && !call.isPossiblyExecuted();
