Send nothing to a worker that has said in an answer that it is leaving

Cause: only the published entry made a worker leave for a process.

It takes the worker out of the candidates of every selector, so also of the sources to fetch from, and its end is no crash. It survives updates and the removal of the entry, and ends with the incarnation.

Ruled out: changing the entry, which is discarded with its removal; telling peers, since each process is bound by what was said to it, and a false word would take the worker out of use everywhere.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
@@ -65,7 +65,7 @@
     /** Reports a crash, except for a leaving worker, which stops as announced even with requests in flight. */
     private void handleProbeResult(FailedAttempt attempt, WorkerProbe.Result result) {
         log(attempt, result);
-        if (result == WorkerProbe.Result.CRASHED && !attempt.worker().leaving()) {
+        if (result == WorkerProbe.Result.CRASHED && !state.workers().isLeaving(attempt.worker())) {
             Ending ending = attempt.eventCount() == 0 ? Ending.CRASHED_BEFORE_OUTPUT : Ending.CRASHED_DURING_OUTPUT;
             CrashNotice notice = new CrashNotice(
                     attempt.call().fingerprint(),
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/LeavingWorkers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/LeavingWorkers.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntPredicate;
 
 /**
  * The workers that have stated in a response that they are leaving, by incarnation. A worker does not withdraw this, so
@@ -13,6 +14,16 @@
     private static final long RETENTION_NANOS = 3_600L * 1_000_000_000L;
 
     private final Map<Integer, Long> statedNanos = new HashMap<>();
+    private final IntPredicate isPublished;
+
+    /**
+     * Creates an empty set.
+     *
+     * @param isPublished whether the worker with an incarnation is published; if so, it is not forgotten
+     */
+    LeavingWorkers(IntPredicate isPublished) {
+        this.isPublished = isPublished;
+    }
 
     /**
      * Records that a worker has stated that it is leaving.
@@ -24,7 +35,10 @@
     public boolean add(int worker, long nowNanos) {
         boolean added = statedNanos.put(worker, nowNanos) == null;
         if (added) {
-            statedNanos.values().removeIf(stated -> nowNanos - stated > RETENTION_NANOS);
+            statedNanos
+                    .entrySet()
+                    .removeIf(stated ->
+                            nowNanos - stated.getValue() > RETENTION_NANOS && !isPublished.test(stated.getKey()));
         }
         return added;
     }
@@ -33,7 +47,7 @@
      * Returns whether a worker has stated that it is leaving.
      *
      * @param worker the worker's incarnation
-     * @return true until an hour after its last statement
+     * @return true while it is published, and for at least an hour after its last statement
      */
     public boolean contains(int worker) {
         return statedNanos.containsKey(worker);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -50,7 +50,7 @@
     private final RateShareHolders rateShareHolders = new RateShareHolders();
     private final WorkerLimits limits = new WorkerLimits();
     private final WorkerBackoffs backoffs = new WorkerBackoffs();
-    private final LeavingWorkers leavingWorkers = new LeavingWorkers();
+    private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
     private long nextSequence;
 
     /**
@@ -285,9 +285,19 @@
                 .toList();
     }
 
+    /**
+     * Returns whether a worker is leaving, according to its published entry or its own statement in a response.
+     *
+     * @param entry entry of the worker
+     * @return true if it must get no new requests and will stop
+     */
+    public boolean isLeaving(WorkerEntry entry) {
+        return entry.leaving() || leavingWorkers.contains(entry.incarnation());
+    }
+
     private boolean isEligible(WorkerState worker) {
         WorkerEntry entry = worker.entry();
-        return !entry.leaving() && !evacuated.contains(entry.dataCentre()) && !isReplaced(worker);
+        return !isLeaving(entry) && !evacuated.contains(entry.dataCentre()) && !isReplaced(worker);
     }
 
     /**
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/LeavingWorkersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/LeavingWorkersTest.java
@@ -8,7 +8,9 @@
     private static final long HOUR = 3_600L * 1_000_000_000L;
     private static final int WORKER = 7;
 
-    private final LeavingWorkers workers = new LeavingWorkers();
+    private static final int PUBLISHED = 100;
+
+    private final LeavingWorkers workers = new LeavingWorkers(worker -> worker == PUBLISHED);
 
     @Test
     void onlyTheFirstStatementOfAnIncarnationIsNews() {
@@ -20,12 +22,14 @@
     }
 
     @Test
-    void workersThatHaveSaidNothingForAnHourAreForgotten() {
+    void workersThatAreNotPublishedAndHaveSaidNothingForAnHourAreForgotten() {
         workers.add(WORKER, 0);
         workers.add(WORKER + 1, 0);
+        workers.add(PUBLISHED, 0);
         workers.add(WORKER, HOUR);
         workers.add(WORKER + 2, HOUR + 1);
         assertThat(workers.contains(WORKER)).isTrue();
         assertThat(workers.contains(WORKER + 1)).isFalse();
+        assertThat(workers.contains(PUBLISHED)).isTrue();
     }
 }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/BackingOffWorkersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerStatementsTest.java
@@ -10,7 +10,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class BackingOffWorkersTest {
+class WorkerStatementsTest {
     private static final long SECOND = 1_000_000_000L;
 
     private final Workers workers = new Workers();
@@ -64,6 +64,25 @@
         assertThat(workers.sharedBackoffMillis("u", 0)).hasValue(3_000);
     }
 
+    @Test
+    void aWorkerThatHasStatedThatItIsLeavingIsNoCandidateWhateverItsEntrySays() {
+        workers.leavingWorkers().add(workers.find("a").orElseThrow().incarnation(), 0);
+        assertThat(candidates(0)).containsExactly("b");
+        workers.addOrUpdate(entry("a", 1_000, false), SECOND);
+        assertThat(candidates(SECOND)).containsExactly("b");
+        workers.remove("a");
+        workers.addOrUpdate(entry("a", 1_000, false), 2 * SECOND);
+        assertThat(candidates(2 * SECOND)).containsExactly("b");
+        workers.addOrUpdate(entry("a", 2_000, false), 3 * SECOND);
+        assertThat(candidates(3 * SECOND)).containsExactlyInAnyOrder("a", "b");
+    }
+
+    private List<String> candidates(long nowNanos) {
+        return workers.candidates("u", Set.of(), nowNanos).stream()
+                .map(WorkerLoad::id)
+                .toList();
+    }
+
     private void requestBackoff(String id, long millis) {
         workers.backoffs().extend(workers.find(id).orElseThrow().incarnation(), millis, 0);
     }
