Look for a shared backoff only while one is active, and simplify the queue's check

After the first backoff of its life a process went through all workers for each call that can wait, and for each look at a waiting queue, although no backoff was active. Found by reading.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineQueues.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineQueues.java
@@ -169,12 +169,13 @@
 
     /** Rejects all calls of a queue if all engines have asked to back off. */
     private void rejectDuringBackoff(UpstreamQueue<QueuedCall> queue, long nowNanos) {
-        if (queue.peekNext(nowNanos)
-                .flatMap(next -> backoffRejection(next.item().call, nowNanos))
-                .isPresent()) {
-            queue.removeAll()
-                    .forEach(
-                            each -> backoffRejection(each.item().call, nowNanos).ifPresent(each.item().sink::success));
+        Optional<QueuedCall> next = queue.peekNext(nowNanos).map(PendingRequest::item);
+        if (next.isEmpty() || backoffRejection(next.get().call, nowNanos).isEmpty()) {
+            return;
+        }
+        for (PendingRequest<QueuedCall> each : queue.removeAll()) {
+            QueuedCall queued = each.item();
+            backoffRejection(queued.call, nowNanos).ifPresent(queued.sink::success);
         }
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -226,7 +226,7 @@
      *     backoff, or there is no worker that requests may be sent to
      */
     public OptionalLong sharedBackoffMillis(String upstream, long nowNanos) {
-        if (backoffs.isEmpty()) {
+        if (!backoffs.isAnyActive(nowNanos)) {
             return OptionalLong.empty();
         }
         OptionalLong shortest = byId.values().stream()
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/WorkerBackoffs.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/WorkerBackoffs.java
@@ -23,7 +23,7 @@
      * @return whether a backoff begins, which is not the case if the worker's previous one has not ended
      */
     public boolean extend(int worker, long millis, long nowNanos) {
-        endsNanos.values().removeIf(end -> end - nowNanos <= 0);
+        removeEnded(nowNanos);
         if (millis <= 0) {
             return false;
         }
@@ -36,12 +36,18 @@
     }
 
     /**
-     * Returns whether no worker can be in a backoff.
+     * Returns whether the backoff of any worker has not ended.
      *
-     * @return true if no worker has asked for one; false possibly also after the last one has ended
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return false if there is none, so that callers need not look at each worker
      */
-    public boolean isEmpty() {
-        return endsNanos.isEmpty();
+    public boolean isAnyActive(long nowNanos) {
+        removeEnded(nowNanos);
+        return !endsNanos.isEmpty();
+    }
+
+    private void removeEnded(long nowNanos) {
+        endsNanos.values().removeIf(end -> end - nowNanos <= 0);
     }
 
     /**
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/rate/WorkerBackoffsTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/rate/WorkerBackoffsTest.java
@@ -49,6 +49,15 @@
         assertThat(backoffs.remainingMillis(WORKER, START + 1_500 * MILLI)).isEqualTo(500);
     }
 
+    @Test
+    void noBackoffIsActiveAfterTheLastOneHasEnded() {
+        assertThat(backoffs.isAnyActive(START)).isFalse();
+        backoffs.extend(WORKER, 1_000, START);
+        backoffs.extend(WORKER + 1, 3_000, START);
+        assertThat(backoffs.isAnyActive(START + 2_999 * MILLI)).isTrue();
+        assertThat(backoffs.isAnyActive(START + 3_000 * MILLI)).isFalse();
+    }
+
     @Test
     void aTimeOfZeroIsNoBackoff() {
         assertThat(backoffs.extend(WORKER, 0, START)).isFalse();
