An invalid request limit leaves the worker's previous one in force

Cause: a success without a valid Server-Limit ended the limit that the worker had announced before, so that one faulty value ('many', two values in one line) took it out of force in the whole fleet.

Change: only a success without the header ends a limit.

LimitedWorkersTest.anInvalidLimitLeavesTheAnnouncedOneInForce failed without the change (more requests in four seconds at plain-1 than its limit allows) and passes with it.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatement.java
@@ -7,6 +7,8 @@
  * What a worker states about itself in the headers of a response. The values are as sent by the worker: decoded, but not
  * checked against the request.
  *
+ * @param mentionsRequestLimit whether the response has a request limit, valid or not; only a response without one can
+ *     end an earlier limit
  * @param requestLimitPerSecond requests per second that the worker accepts from all router processes together, not
  *     negative; empty if it sets no limit
  * @param backoffMillis how long the worker wants no requests from this process, in milliseconds; 0 if it does not ask for
@@ -15,7 +17,11 @@
  * @param ignored values that are not valid or not allowed in this response, and that have no effect
  */
 public record WorkerStatement(
-        OptionalDouble requestLimitPerSecond, long backoffMillis, boolean leaving, List<IgnoredValue> ignored) {
+        boolean mentionsRequestLimit,
+        OptionalDouble requestLimitPerSecond,
+        long backoffMillis,
+        boolean leaving,
+        List<IgnoredValue> ignored) {
     /**
      * A header value that has no effect.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatementHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatementHandler.java
@@ -39,13 +39,14 @@
     }
 
     /**
-     * Applies the worker's request limit. A stated limit is applied with any status, but its absence removes the limit
-     * only if the response is a stamped success.
+     * Applies the worker's request limit. A valid limit is applied with any status, an invalid one leaves the previous
+     * limit in force, and its absence removes the limit only if the response is a stamped success.
      */
     private void updateRequestLimit(
             WorkerEntry worker, WorkerStatement statement, StreamedResponse response, long nowNanos) {
         boolean isStampedSuccess = dialect.hasWorkerStamp(response.headers()) && response.status() / 100 == 2;
-        if (statement.requestLimitPerSecond().isPresent() || isStampedSuccess) {
+        boolean isLimitEnded = isStampedSuccess && !statement.mentionsRequestLimit();
+        if (statement.requestLimitPerSecond().isPresent() || isLimitEnded) {
             state.recordWorkerLimit(worker, statement.requestLimitPerSecond(), nowNanos);
         }
     }
