Gateway: settings builder, metrics registry and optional endpoint

Cause: the router on the users' platform had no metrics, and each new setting changed a constructor of fourteen arguments in three places. Change: GatewaySettings has a builder; GatewayMetrics holds a Dropwizard registry and serves it in the Prometheus text format if [listen] metrics is set. Ruled out: an endpoint that is always there, because loading its classes would lengthen each start.

--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param readiness the listen address of the readiness endpoint
  * @param addresses the listen address of the endpoint that lists the addresses clients may use
  * @param peers the listen address for peer processes, TCP and UDP
+ * @param metrics the listen address of the metrics endpoint; empty if it is disabled
  * @param store the address of the platform's store
  * @param changesWithin the maximum time until a published change is in force on every process
  * @param seeds the addresses of the peers contacted first to join the cluster
@@ -31,9 +32,229 @@
         String readiness,
         String addresses,
         String peers,
+        String metrics,
         String store,
         Duration changesWithin,
         List<String> seeds,
         double repeatRatio,
         double repeatExtra,
-        Duration repeatWindow) {}
+        Duration repeatWindow) {
+    /**
+     * Creates a builder.
+     *
+     * @return a builder in which only optional settings have values
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Builder for settings. Each method replaces the value that was set before. */
+    public static final class Builder {
+        private String name;
+        private String dataCentre;
+        private String region;
+        private Duration grace;
+        private String clients;
+        private String readiness;
+        private String addresses;
+        private String peers;
+        private String metrics = "";
+        private String store;
+        private Duration changesWithin;
+        private List<String> seeds = List.of();
+        private double repeatRatio;
+        private double repeatExtra;
+        private Duration repeatWindow;
+
+        private Builder() {}
+
+        /**
+         * Sets the VM's name, unique in the fleet.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder name(String value) {
+            name = value;
+            return this;
+        }
+
+        /**
+         * Sets the data centre of the VM.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder dataCentre(String value) {
+            dataCentre = value;
+            return this;
+        }
+
+        /**
+         * Sets the region of the VM.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder region(String value) {
+            region = value;
+            return this;
+        }
+
+        /**
+         * Sets the grace period after SIGTERM within which the process must end.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder grace(Duration value) {
+            grace = value;
+            return this;
+        }
+
+        /**
+         * Sets the listen address for client requests.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder clients(String value) {
+            clients = value;
+            return this;
+        }
+
+        /**
+         * Sets the listen address of the readiness endpoint.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder readiness(String value) {
+            readiness = value;
+            return this;
+        }
+
+        /**
+         * Sets the listen address of the endpoint that lists the addresses clients may use.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder addresses(String value) {
+            addresses = value;
+            return this;
+        }
+
+        /**
+         * Sets the listen address for peer processes, TCP and UDP.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder peers(String value) {
+            peers = value;
+            return this;
+        }
+
+        /**
+         * Sets the listen address of the metrics endpoint; empty if it is disabled.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder metrics(String value) {
+            metrics = value;
+            return this;
+        }
+
+        /**
+         * Sets the address of the platform's store.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder store(String value) {
+            store = value;
+            return this;
+        }
+
+        /**
+         * Sets the maximum time until a published change is in force on every process.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder changesWithin(Duration value) {
+            changesWithin = value;
+            return this;
+        }
+
+        /**
+         * Sets the addresses of the peers contacted first to join the cluster.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder seeds(List<String> value) {
+            seeds = value;
+            return this;
+        }
+
+        /**
+         * Sets the retry budget of an upstream, in retries per request.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder repeatRatio(double value) {
+            repeatRatio = value;
+            return this;
+        }
+
+        /**
+         * Sets retries allowed across the whole fleet in each window in addition to {@code repeatRatio}.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder repeatExtra(double value) {
+            repeatExtra = value;
+            return this;
+        }
+
+        /**
+         * Sets the length of the window over which retries are counted.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder repeatWindow(Duration value) {
+            repeatWindow = value;
+            return this;
+        }
+
+        /**
+         * Builds the settings.
+         *
+         * @return the settings
+         */
+        public GatewaySettings build() {
+            return new GatewaySettings(
+                    name,
+                    dataCentre,
+                    region,
+                    grace,
+                    clients,
+                    readiness,
+                    addresses,
+                    peers,
+                    metrics,
+                    store,
+                    changesWithin,
+                    seeds,
+                    repeatRatio,
+                    repeatExtra,
+                    repeatWindow);
+        }
+    }
+}
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
@@ -36,24 +36,26 @@
         SectionReader listen = sections.section(LISTEN);
         SectionReader platform = sections.section(PLATFORM);
         SectionReader repeats = sections.section(REPEATS);
-        GatewaySettings settings = new GatewaySettings(
-                daemon.required("name", ValueType.NAME),
-                daemon.required("data-centre", ValueType.NAME),
-                daemon.required("region", ValueType.NAME),
-                seconds(daemon.required("grace-seconds", SECONDS_TYPE)),
-                listen.required("clients", ValueType.ADDRESS),
-                listen.required("readiness", ValueType.ADDRESS),
-                listen.required("addresses", ValueType.ADDRESS),
-                listen.required("peers", ValueType.ADDRESS),
-                platform.required("store", ValueType.ADDRESS),
-                shortest(
+        GatewaySettings settings = GatewaySettings.builder()
+                .name(daemon.required("name", ValueType.NAME))
+                .dataCentre(daemon.required("data-centre", ValueType.NAME))
+                .region(daemon.required("region", ValueType.NAME))
+                .grace(seconds(daemon.required("grace-seconds", SECONDS_TYPE)))
+                .clients(listen.required("clients", ValueType.ADDRESS))
+                .readiness(listen.required("readiness", ValueType.ADDRESS))
+                .addresses(listen.required("addresses", ValueType.ADDRESS))
+                .peers(listen.required("peers", ValueType.ADDRESS))
+                .metrics(listen.optional("metrics", ValueType.ADDRESS, ""))
+                .store(platform.required("store", ValueType.ADDRESS))
+                .changesWithin(shortest(
                         platform.optional("configuration-milliseconds", MILLIS_TYPE, DEFAULT_CHANGES_WITHIN_MILLIS),
                         platform.optional("leaving-milliseconds", MILLIS_TYPE, DEFAULT_CHANGES_WITHIN_MILLIS),
-                        platform.optional("evacuation-milliseconds", MILLIS_TYPE, MAX_MILLIS)),
-                platform.optional("seeds", ValueType.ADDRESSES, List.of()),
-                repeats.required("ratio", COUNT_TYPE),
-                repeats.required("extra", COUNT_TYPE),
-                seconds(repeats.required("window-seconds", SECONDS_TYPE)));
+                        platform.optional("evacuation-milliseconds", MILLIS_TYPE, MAX_MILLIS)))
+                .seeds(platform.optional("seeds", ValueType.ADDRESSES, List.of()))
+                .repeatRatio(repeats.required("ratio", COUNT_TYPE))
+                .repeatExtra(repeats.required("extra", COUNT_TYPE))
+                .repeatWindow(seconds(repeats.required("window-seconds", SECONDS_TYPE)))
+                .build();
         return findings.isEmpty() ? new Checked.Valid<>(settings) : findings.toInvalid(List.copyOf(KEYS.keySet()));
     }
 
@@ -68,7 +70,7 @@
     private static Map<String, List<String>> keys() {
         Map<String, List<String>> keys = new LinkedHashMap<>();
         keys.put(DAEMON, List.of("name", "data-centre", "region", "grace-seconds"));
-        keys.put(LISTEN, List.of("clients", "readiness", "addresses", "peers"));
+        keys.put(LISTEN, List.of("clients", "readiness", "addresses", "peers", "metrics"));
         keys.put(
                 PLATFORM,
                 List.of(
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/PrometheusText.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/metrics/PrometheusText.java
@@ -1,4 +1,4 @@
-package org.dotterelcourse.daemon.operators;
+package org.dotterelcourse.daemon.metrics;
 
 import java.io.IOException;
 import java.io.StringWriter;
@@ -10,10 +10,16 @@
 import io.prometheus.client.exporter.common.TextFormat;
 
 /** Formats the registry's metrics in the Prometheus text format, version 0.0.4. */
-final class PrometheusText {
+public final class PrometheusText {
     private PrometheusText() {}
 
-    static String of(MetricRegistry registry) {
+    /**
+     * Formats all metrics of a registry.
+     *
+     * @param registry the registry
+     * @return the metrics as text
+     */
+    public static String of(MetricRegistry registry) {
         StringWriter text = new StringWriter();
         try {
             TextFormat.write004(text, Collections.enumeration(new DropwizardExports(registry).collect()));
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/OperatorsEdge.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/operators/OperatorsEdge.java
@@ -17,6 +17,7 @@
 import org.dotterelcourse.daemon.kernel.Service;
 import org.dotterelcourse.daemon.kernel.ServiceName;
 import org.dotterelcourse.daemon.kernel.StartupFailure;
+import org.dotterelcourse.daemon.metrics.PrometheusText;
 import org.dotterelcourse.daemon.metrics.RequestMetrics;
 import org.dotterelcourse.daemon.peers.Peers;
 import org.dotterelcourse.daemon.platform.ConfigurationStore;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.Counter;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -21,6 +22,7 @@
 import org.dotterelcourse.gateway.forward.Forwarder;
 import org.dotterelcourse.gateway.forward.LocalReply;
 import org.dotterelcourse.gateway.forward.Reply;
+import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -60,6 +62,7 @@
     private GatewayState state;
     private RequestPacer pacer;
     private Forwarder forwarder;
+    private Counter endedRequests;
     private DisposableServer server;
     private volatile Phase phase = Phase.SERVING;
 
@@ -100,7 +103,7 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(GatewayLoop.NAME, GatewayState.NAME, Forwarder.NAME);
+        return List.of(GatewayLoop.NAME, GatewayState.NAME, GatewayMetrics.NAME, Forwarder.NAME);
     }
 
     @Override
@@ -109,6 +112,7 @@
         state = kernel.find(GatewayState.NAME);
         pacer = new RequestPacer(loop);
         forwarder = kernel.find(Forwarder.NAME);
+        endedRequests = kernel.find(GatewayMetrics.NAME).registry().counter("gateway.requests.ended");
         try {
             server = HttpServer.create()
                     .host(listenAddress.address())
@@ -176,6 +180,7 @@
                 .doOnCancel(log::recordClientDisconnect)
                 .doFinally(signal -> {
                     inFlight.decrement();
+                    endedRequests.inc();
                     log.write(loop.nowNanos());
                 });
     }
