--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -4,6 +4,7 @@
 
 import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.cold.ColdStartTracker;
+import org.dotterelcourse.policy.performance.WorkerPerformance;
 import org.dotterelcourse.policy.rate.RateShare;
 import org.dotterelcourse.policy.rate.SlidingWindowLog;
 import org.dotterelcourse.policy.repeat.LocalSuspicion;
@@ -162,6 +163,7 @@
                 interactive + peerLoad.interactive(),
                 prefillMillis + peerLoad.prefillMillis(),
                 suspectedByFleet || localSuspicion.isSuspected(nowNanos),
-                permission);
+                permission,
+                WorkerPerformance.NOMINAL);
     }
 }
--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/performance/package-info.java
@@ -0,0 +1,2 @@
+/** Estimates of how fast each worker is, from measured durations. */
+package org.dotterelcourse.policy.performance;
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
@@ -1,5 +1,7 @@
 package org.dotterelcourse.policy.selection;
 
+import org.dotterelcourse.policy.performance.WorkerPerformance;
+
 /**
  * Snapshot of one worker's state and load, as input of a {@link WorkerSelector}.
  *
@@ -16,6 +18,7 @@
  *     workers that are not suspected
  * @param sendPermission whether this process may send the worker requests; one that is denied receives nothing but keeps
  *     its rank, since other processes may be allowed to use it
+ * @param performance estimated speed of the worker
  */
 public record WorkerLoad(
         String id,
@@ -27,7 +30,8 @@
         int interactiveStreams,
         double prefillMillis,
         boolean suspected,
-        SendPermission sendPermission) {
+        SendPermission sendPermission,
+        WorkerPerformance performance) {
     /**
      * Whether this process may send the worker a request.
      *
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 
+import org.dotterelcourse.policy.performance.WorkerPerformance;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -299,7 +300,8 @@
                 engine.interactiveStreams(),
                 engine.prefillMillis(),
                 engine.suspected(),
-                permission);
+                permission,
+                WorkerPerformance.NOMINAL);
     }
 
     private EngineSelector selector(long seed, CachedPrefixes cached) {
@@ -324,6 +326,16 @@
 
     private static WorkerLoad load(String id, String address, int inFlight, double prefill, boolean suspected) {
         return new WorkerLoad(
-                id, id.hashCode(), address, "dc", 64, inFlight, 0, prefill, suspected, SendPermission.UNLIMITED);
+                id,
+                id.hashCode(),
+                address,
+                "dc",
+                64,
+                inFlight,
+                0,
+                prefill,
+                suspected,
+                SendPermission.UNLIMITED,
+                WorkerPerformance.NOMINAL);
     }
 }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/LeastLoadedSelectorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/LeastLoadedSelectorTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Random;
 
+import org.dotterelcourse.policy.performance.WorkerPerformance;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -73,11 +74,23 @@
                 0,
                 0,
                 suspected,
-                SendPermission.UNLIMITED);
+                SendPermission.UNLIMITED,
+                WorkerPerformance.NOMINAL);
     }
 
     private static WorkerLoad load(
             String id, String dataCentre, int inFlight, boolean suspected, SendPermission permission) {
-        return new WorkerLoad(id, id.hashCode(), "10.0.0.1:1", dataCentre, 6, inFlight, 0, 0, suspected, permission);
+        return new WorkerLoad(
+                id,
+                id.hashCode(),
+                "10.0.0.1:1",
+                dataCentre,
+                6,
+                inFlight,
+                0,
+                0,
+                suspected,
+                permission,
+                WorkerPerformance.NOMINAL);
     }
 }
