Forward a stream's events with fewer operators and one buffer each

Cause: each event passed some fifteen general Reactor operators, a regular expression for its id, and the HTTP codec, which made three buffers and promises of each chunk. Change: EventRelay, StreamDeadline and ResponseBody do the same in three operators; EventFramer copies once; EventWriter writes each chunk as one buffer behind the codec. Events of one packet share a write. Counters gateway.efficiency.packets, .events and .flushes. Ruled out: delaying a flush to combine events of several packets, since an event is forwarded as it arrives.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -63,6 +64,7 @@
     private RequestPacer pacer;
     private Forwarder forwarder;
     private Counter endedRequests;
+    private Counter flushes;
     private DisposableServer server;
     private volatile Phase phase = Phase.SERVING;
 
@@ -113,6 +115,7 @@
         pacer = new RequestPacer(loop);
         forwarder = kernel.find(Forwarder.NAME);
         endedRequests = kernel.find(GatewayMetrics.NAME).registry().counter("gateway.requests.ended");
+        flushes = kernel.find(GatewayMetrics.NAME).registry().counter("gateway.efficiency.flushes");
         try {
             server = HttpServer.create()
                     .host(listenAddress.address())
@@ -248,14 +251,19 @@
         response.status(streamed.status());
         response.responseHeaders().add(Admission.forwardedResponseHeaders(streamed.headers()));
         response.chunkedTransfer(true);
-        return response.send(
-                        ByteBufFlux.fromInbound(Flux.from(streamed.events()).map(Unpooled::wrappedBuffer)),
-                        buffer -> true)
-                .then()
-                .doOnError(error -> {
-                    log.recordFailure(error);
-                    response.withConnection(connection -> connection.channel().close());
-                });
+        return sendEvents(response, streamed).doOnError(error -> {
+            log.recordFailure(error);
+            response.withConnection(connection -> connection.channel().close());
+        });
+    }
+
+    private Mono<Void> sendEvents(HttpServerResponse response, Reply.Streamed streamed) {
+        if (EventWriter.isApplicable(response)) {
+            return response.then(new EventWriter(streamed.events(), EventWriter.channel(response), flushes))
+                    .then();
+        }
+        Flux<ByteBuf> events = Flux.from(streamed.events()).map(Unpooled::wrappedBuffer);
+        return response.send(ByteBufFlux.fromInbound(events), buffer -> true).then();
     }
 
     private static Mono<Void> sendLocal(HttpServerResponse response, LocalReply reply, RequestLog log) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventFramer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventFramer.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -12,9 +13,9 @@
  * worker that resumes the stream.
  */
 final class EventFramer {
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream(0);
     private int lineLength;
     private boolean hasLines;
 
@@ -29,16 +30,24 @@
     /**
      * Appends the next bytes of the stream.
      *
-     * @param bytes the bytes, split at any position
+     * @param bytes the bytes, split at any position; must not be changed later, because an event may share them
      * @return the events that these bytes complete
      */
     List<Event> append(byte[] bytes) {
-        List<Event> events = new ArrayList<>();
-        for (byte next : bytes) {
-            pending.write(next);
+        List<Event> events = List.of();
+        int start = 0;
+        for (int i = 0; i < bytes.length; i++) {
+            byte next = bytes[i];
             if (next == '\n') {
                 if (lineLength == 0 && hasLines) {
-                    events.add(completeEvent());
+                    Event event = completeEvent(bytes, start, i + 1);
+                    start = i + 1;
+                    // Most packets complete one event.
+                    if (events.isEmpty()) {
+                        events = start == bytes.length ? List.of(event) : new ArrayList<>(List.of(event));
+                    } else {
+                        events.add(event);
+                    }
                 }
                 lineLength = 0;
             } else if (next != '\r') {
@@ -46,6 +55,7 @@
                 hasLines = true;
             }
         }
+        pending.write(bytes, start, bytes.length - start);
         return events;
     }
 
@@ -58,16 +68,37 @@
         return !hasLines;
     }
 
-    private Event completeEvent() {
-        byte[] bytes = pending.toByteArray();
-        pending.reset();
+    private Event completeEvent(byte[] bytes, int start, int end) {
         hasLines = false;
+        byte[] event;
+        if (pending.size() > 0) {
+            pending.write(bytes, start, end - start);
+            event = pending.toByteArray();
+            pending.reset();
+        } else {
+            event = start == 0 && end == bytes.length ? bytes : Arrays.copyOfRange(bytes, start, end);
+        }
+        return new Event(event, lastId(event));
+    }
+
+    /** Returns the value of the last id field, without surrounding white space. */
+    private static String lastId(byte[] event) {
         String id = "";
-        for (String line : new String(bytes, StandardCharsets.UTF_8).split("\r?\n")) {
-            if (line.startsWith(ID_FIELD)) {
-                id = line.substring(ID_FIELD.length()).trim();
+        int start = 0;
+        for (int i = 0; i < event.length; i++) {
+            if (event[i] == '\n') {
+                if (hasIdField(event, start, i)) {
+                    int valueStart = start + ID_FIELD.length;
+                    id = new String(event, valueStart, i - valueStart, StandardCharsets.UTF_8).trim();
+                }
+                start = i + 1;
             }
         }
-        return new Event(bytes, id);
+        return id;
+    }
+
+    private static boolean hasIdField(byte[] event, int start, int end) {
+        int fieldEnd = start + ID_FIELD.length;
+        return fieldEnd <= end && Arrays.equals(event, start, fieldEnd, ID_FIELD, 0, ID_FIELD.length);
     }
 }
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
@@ -0,0 +1,136 @@
+package org.dotterelcourse.gateway.forward;
+
+import java.util.List;
+
+import org.reactivestreams.Subscription;
+import reactor.core.CoreSubscriber;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.FluxOperator;
+import reactor.util.context.Context;
+
+/**
+ * Passes on the complete events of a worker's stream. One operator in place of a chain of general ones, because a stream
+ * has many events and each operator costs processor time for each of them. Must be used on the gateway's event loop only.
+ */
+final class EventRelay extends FluxOperator<byte[], byte[]> {
+    private final Listener listener;
+
+    /** Is notified of the progress of a stream. */
+    interface Listener {
+        /** A packet of the worker has arrived, with any part of one or more events. */
+        void onPacket();
+
+        /** A complete event is about to be passed on. */
+        void onEvent(EventFramer.Event event);
+
+        /** The worker's response is complete. Called before the client's response ends. */
+        void onCompletion();
+
+        /** The stream has ended in any way. Called after everyone else was notified. */
+        void onEnd();
+    }
+
+    EventRelay(Flux<byte[]> body, Listener listener) {
+        super(body);
+        this.listener = listener;
+    }
+
+    @Override
+    public void subscribe(CoreSubscriber<? super byte[]> actual) {
+        source.subscribe(new Relay(actual, listener));
+    }
+
+    /** The subscription of one client to one worker's stream. */
+    private static final class Relay implements CoreSubscriber<byte[]>, Subscription {
+        private final CoreSubscriber<? super byte[]> actual;
+        private final Listener listener;
+        private final EventFramer framer = new EventFramer();
+        private Subscription upstream;
+        private boolean isEnded;
+
+        private Relay(CoreSubscriber<? super byte[]> actual, Listener listener) {
+            this.actual = actual;
+            this.listener = listener;
+        }
+
+        @Override
+        public Context currentContext() {
+            return actual.currentContext();
+        }
+
+        @Override
+        public void onSubscribe(Subscription subscription) {
+            upstream = subscription;
+            actual.onSubscribe(this);
+        }
+
+        @Override
+        public void onNext(byte[] packet) {
+            if (isEnded) {
+                return;
+            }
+            listener.onPacket();
+            List<EventFramer.Event> events = framer.append(packet);
+            if (events.isEmpty()) {
+                upstream.request(1);
+                return;
+            }
+            events.forEach(listener::onEvent);
+            actual.onNext(events.size() == 1 ? events.get(0).bytes() : join(events));
+        }
+
+        @Override
+        public void onError(Throwable error) {
+            if (!isEnded) {
+                isEnded = true;
+                actual.onError(error);
+                listener.onEnd();
+            }
+        }
+
+        @Override
+        public void onComplete() {
+            if (isEnded) {
+                return;
+            }
+            if (!framer.isAtEventBoundary()) {
+                onError(new WorkerConnectionException(
+                        true, new IllegalStateException("stream ended with an incomplete event")));
+                return;
+            }
+            isEnded = true;
+            listener.onCompletion();
+            actual.onComplete();
+            listener.onEnd();
+        }
+
+        @Override
+        public void request(long count) {
+            upstream.request(count);
+        }
+
+        @Override
+        public void cancel() {
+            if (!isEnded) {
+                isEnded = true;
+                upstream.cancel();
+                listener.onEnd();
+            }
+        }
+
+        /** Events that arrive together are passed on together, in one write. */
+        private static byte[] join(List<EventFramer.Event> events) {
+            int length = 0;
+            for (EventFramer.Event event : events) {
+                length += event.bytes().length;
+            }
+            byte[] joined = new byte[length];
+            int position = 0;
+            for (EventFramer.Event event : events) {
+                System.arraycopy(event.bytes(), 0, joined, position, event.bytes().length);
+                position += event.bytes().length;
+            }
+            return joined;
+        }
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -16,6 +16,7 @@
 import org.dotterelcourse.daemon.kernel.StartupFailure;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.workers.Placement;
 import org.dotterelcourse.policy.quarantine.Verdict;
 import org.dotterelcourse.policy.selection.EngineModel;
@@ -53,6 +54,7 @@
     private SharedBackoff sharedBackoff;
     private AttemptFailureHandler failureHandler;
     private WorkerStatementHandler statementHandler;
+    private StreamProgress.Counters streamCounters;
 
     /**
      * Creates a forwarder.
@@ -73,13 +75,15 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(GatewayLoop.NAME, GatewayState.NAME);
+        return List.of(GatewayLoop.NAME, GatewayState.NAME, GatewayMetrics.NAME);
     }
 
     @Override
     public List<StartupFailure> start(Kernel kernel) {
         loop = kernel.find(GatewayLoop.NAME);
         state = kernel.find(GatewayState.NAME);
+        streamCounters =
+                StreamProgress.Counters.of(kernel.find(GatewayMetrics.NAME).registry());
         client = new WorkerClient(loop);
         failureHandler = new AttemptFailureHandler(loop, state);
         statementHandler = new WorkerStatementHandler(dialect, validator, state);
@@ -167,7 +171,7 @@
     private Mono<Reply> handleResponse(Call call, Placement placement, StreamedResponse response) {
         statementHandler.handle(call, placement.entry(), response, loop.nowNanos());
         if (validator.isStreamable(call, response)) {
-            Flux<byte[]> events = relay(call, placement, response).takeUntilOther(deadline(call));
+            Flux<byte[]> events = relay(call, placement, response);
             return Mono.just(new Reply.Streamed(response.status(), response.headers(), events));
         }
         return collect(response)
@@ -177,13 +181,6 @@
                         handleResult(call, placement, validator.classify(call, buffered), Optional.empty()));
     }
 
-    /** Fails at the call's deadline, so that the client does not take a stream still in progress for complete. */
-    private Mono<Void> deadline(Call call) {
-        Duration remaining =
-                Duration.ofMillis(Math.max(0, call.remainingMillis(loop.nowNanos())) + DEADLINE_GRACE_MILLIS);
-        return Mono.delay(remaining, loop.scheduler()).then(Mono.error(() -> new StreamTimeoutException()));
-    }
-
     /** Closes the connection after a response to another request, because more such responses may follow. */
     private void closeUnlessFromWorker(Call call, StreamedResponse response) {
         if (!validator.isFromWorker(call, response)) {
@@ -273,22 +270,18 @@
     }
 
     private Flux<byte[]> relay(Call call, Placement placement, StreamedResponse response) {
-        EventFramer framer = new EventFramer();
-        return response.body()
-                .concatMapIterable(framer::append)
-                .doOnNext(event -> {
-                    placement.recordFirstEvent();
+        StreamProgress progress = new StreamProgress(
+                streamCounters,
+                placement,
+                event -> {
                     call.recordEvent(event.id(), loop.nowNanos());
                     recordEventTiming(call);
-                })
-                .map(EventFramer.Event::bytes)
-                .concatWith(Mono.defer(() -> framer.isAtEventBoundary()
-                        ? Mono.empty()
-                        : Mono.error(new WorkerConnectionException(
-                                true, new IllegalStateException("stream ended with an incomplete event")))))
-                .doOnComplete(() -> recordCompletion(call, placement))
-                .doFinally(signal -> placement.end())
+                },
+                () -> recordCompletion(call, placement));
+        Flux<byte[]> events = new EventRelay(response.body(), progress)
                 .onErrorResume(WorkerConnectionException.class, error -> resume(call, placement, error));
+        long delayMillis = Math.max(0, call.remainingMillis(loop.nowNanos())) + DEADLINE_GRACE_MILLIS;
+        return new StreamDeadline(events, loop.eventLoop(), delayMillis);
     }
 
     private void recordEventTiming(Call call) {
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ResponseBody.java
@@ -0,0 +1,99 @@
+package org.dotterelcourse.gateway.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import org.reactivestreams.Subscription;
+import reactor.core.CoreSubscriber;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.FluxOperator;
+import reactor.util.context.Context;
+
+/**
+ * The body of a worker's response as byte arrays. Closes the connection at the end, unless it may be used for another
+ * request: if the body is complete and the response a success. Errors become {@link WorkerConnectionException}s.
+ */
+final class ResponseBody extends FluxOperator<ByteBuf, byte[]> {
+    private final boolean isReusable;
+    private final Runnable close;
+
+    /**
+     * Creates the body.
+     *
+     * @param content the buffers, which the publisher releases
+     * @param isReusable whether the connection may be used again after a complete body
+     * @param close closes the connection
+     */
+    ResponseBody(Flux<ByteBuf> content, boolean isReusable, Runnable close) {
+        super(content);
+        this.isReusable = isReusable;
+        this.close = close;
+    }
+
+    @Override
+    public void subscribe(CoreSubscriber<? super byte[]> actual) {
+        source.subscribe(new Receiver(actual));
+    }
+
+    /** The subscription to the body. */
+    private final class Receiver implements CoreSubscriber<ByteBuf>, Subscription {
+        private final CoreSubscriber<? super byte[]> actual;
+        private Subscription upstream;
+        private boolean isComplete;
+        private boolean isEnded;
+
+        private Receiver(CoreSubscriber<? super byte[]> actual) {
+            this.actual = actual;
+        }
+
+        @Override
+        public Context currentContext() {
+            return actual.currentContext();
+        }
+
+        @Override
+        public void onSubscribe(Subscription subscription) {
+            upstream = subscription;
+            actual.onSubscribe(this);
+        }
+
+        @Override
+        public void onNext(ByteBuf buffer) {
+            actual.onNext(ByteBufUtil.getBytes(buffer));
+        }
+
+        @Override
+        public void onError(Throwable error) {
+            actual.onError(new WorkerConnectionException(true, error));
+            end();
+        }
+
+        @Override
+        public void onComplete() {
+            // A client that closes its connection right after the response cancels the subscription before the final
+            // signal returns; the body is complete nevertheless.
+            isComplete = true;
+            actual.onComplete();
+            end();
+        }
+
+        @Override
+        public void request(long count) {
+            upstream.request(count);
+        }
+
+        @Override
+        public void cancel() {
+            upstream.cancel();
+            end();
+        }
+
+        private void end() {
+            if (!isEnded) {
+                isEnded = true;
+                if (!isComplete || !isReusable) {
+                    close.run();
+                }
+            }
+        }
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
@@ -92,20 +92,7 @@
     private static StreamedResponse toStreamedResponse(HttpClientResponse response, Connection connection) {
         int status = response.status().code();
         Runnable close = () -> connection.channel().close();
-        // The final signal does not show whether the body was complete: a client that closes its connection right after
-        // the response cancels this flux before the signal arrives.
-        AtomicBoolean isComplete = new AtomicBoolean();
-        Flux<byte[]> body = connection
-                .inbound()
-                .receive()
-                .asByteArray()
-                .onErrorMap(error -> new WorkerConnectionException(true, error))
-                .doOnComplete(() -> isComplete.set(true))
-                .doFinally(signal -> {
-                    if (!isComplete.get() || status >= MIN_NON_SUCCESS_STATUS) {
-                        close.run();
-                    }
-                });
+        Flux<byte[]> body = new ResponseBody(connection.inbound().receive(), status < MIN_NON_SUCCESS_STATUS, close);
         return new StreamedResponse(status, response.responseHeaders().copy(), body, close);
     }
 }
