--- a/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/log/JsonLineHandlerTest.java
+++ b/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/log/JsonLineHandlerTest.java
@@ -74,6 +74,25 @@
         assertThat(new ObjectMapper().readTree(lines.get(1)).has("mdc")).isFalse();
     }
 
+    /** Guards against a text, for example a path or an id sent by a client, that makes its line invalid JSON. */
+    @Test
+    void everyCharacterIsReadBackUnchanged() throws IOException {
+        StringBuilder text = new StringBuilder("\u2028\uD83D\uDE00\u00E9");
+        for (char next = 0; next < 0x100; next++) {
+            text.append(next);
+        }
+        MDC.put("reason", text.toString());
+        try {
+            handler.publish(newRecord(text.toString()));
+        } finally {
+            MDC.clear();
+        }
+
+        JsonNode line = new ObjectMapper().readTree(output.toString(StandardCharsets.UTF_8));
+        assertThat(line.path("message").asText()).isEqualTo(text.toString());
+        assertThat(line.path("mdc").path("reason").asText()).isEqualTo(text.toString());
+    }
+
     private static LogRecord newRecord(String message) {
         LogRecord logRecord = new LogRecord(Level.WARNING, message);
         logRecord.setLoggerName("a.logger");
