Align heartbeats to the process's other timers

Cause: each connection to a peer woke the process at a time of its own. Change: the next heartbeat is due at a multiple of 100 ms, at most a period from now. Ruled out: fewer heartbeats, which would delay the detection of a silent connection.

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerConnection.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerConnection.java
@@ -25,6 +25,9 @@
     static final String HELLO = "hello";
     static final String HEARTBEAT = "heartbeat";
 
+    /** Period of the most frequent periodic tasks of a process, membership ticks and load reports. */
+    private static final long HEARTBEAT_ALIGNMENT_NANOS = 100_000_000L;
+
     private final PeerTransport transport;
     private final TransportLimits limits;
     private final boolean outbound;
@@ -99,13 +102,31 @@
     public void channelActive(ChannelHandlerContext context) throws Exception {
         channel = context.channel();
         lastMessageNanos = transport.nanoTime();
-        long period = limits.heartbeatNanos();
-        heartbeats = context.executor()
-                .scheduleWithFixedDelay(this::checkAndSendHeartbeat, period, period, TimeUnit.NANOSECONDS);
+        scheduleHeartbeat(context);
         transport.onOpened(this, peer);
         super.channelActive(context);
     }
 
+    /**
+     * Schedules the next heartbeat at the last multiple of the transport's alignment within a period, so that heartbeats
+     * of many connections and the periodic tasks of the process share its wake-ups. It is never later than a period from
+     * now, as the peer expects.
+     */
+    private void scheduleHeartbeat(ChannelHandlerContext context) {
+        long period = limits.heartbeatNanos();
+        long delay = period - Math.floorMod(transport.nanoTime() + period, Math.min(period, HEARTBEAT_ALIGNMENT_NANOS));
+        heartbeats = context.executor()
+                .schedule(
+                        () -> {
+                            checkAndSendHeartbeat();
+                            if (channel.isOpen()) {
+                                scheduleHeartbeat(context);
+                            }
+                        },
+                        delay,
+                        TimeUnit.NANOSECONDS);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         heartbeats.cancel(false);
