Select engines without sorting, streams or per-worker lookups

Cause: each request collected all workers of its upstream from a scan of all published workers, built their address strings anew (which also lost the strings' hashes), sorted them with a comparator that hashed them, and looked up weights, shared tokens and cached parts once per worker.

Change: Workers keeps the eligible workers of each upstream in rank order (WorkerIndex), rebuilt on demand after a change that matters; an entry that changes only in slots or cold time does not count. EngineSelector takes ranked candidates as they are (WorkerRanking), finds the three preferred engines in one pass, and looks up the parts of a prompt once (CachedPrefixes.Lookup). Expired locations of a part are removed when a location is added, not at each use. RecentOutcomes computes no power while it has nothing to decay.

Candidates now come in rank order, so plain workers draw their random part in another order.

Ruled out: one index that also keeps WorkerLoad records between requests, since loads change with nearly every report.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/LeavingWorkers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/LeavingWorkers.java
@@ -15,6 +15,7 @@
 
     private final Map<Integer, Long> statedNanos = new HashMap<>();
     private final IntPredicate isPublished;
+    private int additions;
 
     /**
      * Creates an empty set.
@@ -35,6 +36,7 @@
     public boolean add(int worker, long nowNanos) {
         boolean added = statedNanos.put(worker, nowNanos) == null;
         if (added) {
+            additions++;
             statedNanos
                     .entrySet()
                     .removeIf(stated ->
@@ -52,4 +54,9 @@
     public boolean contains(int worker) {
         return statedNanos.containsKey(worker);
     }
+
+    /** Returns how many workers have been added so far, by which a change can be recognized. */
+    int additions() {
+        return additions;
+    }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -26,6 +26,7 @@
     private final int incarnation;
     private final long sequence;
     private WorkerEntry entry;
+    private String address;
     private int inFlight;
     private int interactive;
     private int suspectRequests;
@@ -40,6 +41,7 @@
      */
     WorkerState(WorkerEntry entry, long sequence) {
         this.entry = entry;
+        this.address = entry.address();
         this.incarnation = entry.incarnation();
         this.sequence = sequence;
     }
@@ -69,9 +71,17 @@
     }
 
     void updateEntry(WorkerEntry updated) {
+        if (!updated.host().equals(entry.host()) || updated.port() != entry.port()) {
+            address = updated.address();
+        }
         entry = updated;
     }
 
+    /** Returns the address of the latest entry. The same object until the address changes, so that its hash is kept. */
+    String address() {
+        return address;
+    }
+
     void updatePeerLoad(PeerLoads.Load load) {
         peerLoad = load;
     }
@@ -152,17 +162,23 @@
         return suspectRequests > 0;
     }
 
-    WorkerLoad load(long nowNanos, boolean suspectedByFleet, SendPermission permission) {
+    /**
+     * Returns the load of the worker.
+     *
+     * @param usesSharedSuspicion whether the worker counts as suspected if it failed too often at all processes together,
+     *     as of the last {@link #updateSharedSuspicion}
+     */
+    WorkerLoad load(long nowNanos, boolean usesSharedSuspicion, SendPermission permission) {
         return new WorkerLoad(
                 entry.id(),
                 incarnation,
-                entry.address(),
+                address,
                 entry.dataCentre(),
                 entry.slots(),
                 inFlight + peerLoad.inFlight(),
                 interactive + peerLoad.interactive(),
                 prefillMillis + peerLoad.prefillMillis(),
-                suspectedByFleet || localSuspicion.isSuspected(nowNanos),
+                usesSharedSuspicion && sharedSuspicion.isSuspected() || localSuspicion.isSuspected(nowNanos),
                 permission,
                 WorkerPerformance.NOMINAL);
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -16,6 +16,7 @@
 import org.dotterelcourse.policy.rate.WorkerLimits;
 import org.dotterelcourse.policy.selection.SendPermission;
 import org.dotterelcourse.policy.selection.WorkerLoad;
+import org.dotterelcourse.policy.selection.WorkerRanking;
 
 /**
  * Registry of the published workers. Derives the candidates for a request from published entries, load reports of
@@ -40,17 +41,14 @@
     private boolean sumsOutdated;
     private long refreshedNanos;
 
-    /** By address, the worker that started there last. Recomputed on demand after the workers have changed. */
-    private final Map<String, WorkerState> latestByAddress = new HashMap<>();
-
     private final Set<String> evacuated = new HashSet<>();
-    private boolean latestByAddressValid;
-    private Predicate<String> upstreamExists = upstream -> true;
     private Function<String, ColdStart> coldStartByUpstream = upstream -> ColdStart.none();
     private final RateShareHolders rateShareHolders = new RateShareHolders();
     private final WorkerLimits limits = new WorkerLimits();
     private final WorkerBackoffs backoffs = new WorkerBackoffs();
     private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
+    private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible);
+    private int indexedLeavingWorkers;
     private long nextSequence;
 
     /**
@@ -66,11 +64,15 @@
         if (existing != null && entry.startMillis() < existing.entry().startMillis()) {
             return;
         }
-        latestByAddressValid = false;
         WorkerState current = existing;
         if (existing != null && entry.incarnation() == existing.incarnation()) {
-            existing.updateEntry(existing.entry().leaving() ? entry.toLeaving() : entry);
+            WorkerEntry updated = existing.entry().leaving() ? entry.toLeaving() : entry;
+            if (!WorkerIndex.isEquivalent(existing.entry(), updated)) {
+                index.invalidate();
+            }
+            existing.updateEntry(updated);
         } else {
+            index.invalidate();
             current = new WorkerState(entry, nextSequence++);
             removeIncarnation(byId.put(entry.id(), current));
             byIncarnation.put(current.incarnation(), current);
@@ -86,9 +88,8 @@
      * @param coldStart returns the limits of cold workers for the upstream of the given name
      */
     public void configureUpstreams(Predicate<String> exists, Function<String, ColdStart> coldStart) {
-        upstreamExists = exists;
+        index.configureUpstreams(exists);
         coldStartByUpstream = coldStart;
-        latestByAddressValid = false;
     }
 
     /**
@@ -99,6 +100,7 @@
      * @return true if it was not evacuated before
      */
     public boolean evacuate(String dataCentre) {
+        index.invalidate();
         return evacuated.add(dataCentre);
     }
 
@@ -110,6 +112,7 @@
      * @return true if it was evacuated before
      */
     public boolean endEvacuation(String dataCentre, long nowNanos) {
+        index.invalidate();
         byId.values().stream()
                 .filter(worker -> worker.entry().dataCentre().equals(dataCentre))
                 .forEach(worker -> worker.coldStart().assumeRestarted(nowNanos));
@@ -134,7 +137,7 @@
      * @return its last entry; empty if it was not published
      */
     public Optional<WorkerEntry> remove(String id) {
-        latestByAddressValid = false;
+        index.invalidate();
         WorkerState removed = byId.remove(id);
         removeIncarnation(removed);
         return Optional.ofNullable(removed).map(WorkerState::entry);
@@ -147,26 +150,6 @@
         }
     }
 
-    /**
-     * Returns whether a later worker uses the address of the given one. A crashed worker stays published until its
-     * entry expires, and the worker that has replaced it at its address would reject every request meant for it.
-     * Entries of upstreams that are not configured are ignored, because another program may have written them.
-     */
-    private boolean isReplaced(WorkerState worker) {
-        if (!latestByAddressValid) {
-            latestByAddressValid = true;
-            latestByAddress.clear();
-            byId.values().stream()
-                    .filter(other -> upstreamExists.test(other.entry().upstream()))
-                    .forEach(other -> latestByAddress.merge(
-                            other.entry().address(),
-                            other,
-                            (first, second) -> first.startedAfter(second) ? first : second));
-        }
-        WorkerState latest = latestByAddress.get(worker.entry().address());
-        return latest != null && latest != worker;
-    }
-
     /**
      * Finds a worker by its name.
      *
@@ -185,29 +168,24 @@
      * @param upstream name of the upstream
      * @param excluded names of workers to leave out, such as those that had the request already
      * @param nowNanos current monotonic time in nanoseconds
-     * @return the loads of the workers, including those of peers
+     * @return the loads of the workers, including those of peers, in the order of {@link WorkerRanking}
      */
     public List<WorkerLoad> candidates(String upstream, Set<String> excluded, long nowNanos) {
         refreshPeerLoads(nowNanos);
-        List<WorkerState> serving = new ArrayList<>();
-        Set<WorkerState> suspects = new HashSet<>();
-        for (WorkerState worker : byId.values()) {
-            if (worker.entry().upstream().equals(upstream) && isEligible(worker)) {
-                serving.add(worker);
-                if (worker.updateSharedSuspicion(nowNanos)) {
-                    suspects.add(worker);
-                }
-            }
+        List<WorkerState> serving = eligible(upstream);
+        int suspects = 0;
+        for (WorkerState worker : serving) {
+            suspects += worker.updateSharedSuspicion(nowNanos) ? 1 : 0;
         }
         ColdStart coldStart = coldStartByUpstream.apply(upstream);
-        boolean fewSuspects = suspects.size() <= MAX_SUSPECTED_FRACTION * serving.size();
-        return serving.stream()
-                .filter(worker -> !excluded.contains(worker.entry().id()))
-                .map(worker -> worker.load(
-                        nowNanos,
-                        fewSuspects && suspects.contains(worker),
-                        sendPermission(worker, coldStart, nowNanos)))
-                .toList();
+        boolean fewSuspects = suspects <= MAX_SUSPECTED_FRACTION * serving.size();
+        List<WorkerLoad> loads = new ArrayList<>(serving.size());
+        for (WorkerState worker : serving) {
+            if (excluded.isEmpty() || !excluded.contains(worker.entry().id())) {
+                loads.add(worker.load(nowNanos, fewSuspects, sendPermission(worker, coldStart, nowNanos)));
+            }
+        }
+        return loads;
     }
 
     private SendPermission sendPermission(WorkerState worker, ColdStart coldStart, long nowNanos) {
@@ -229,8 +207,7 @@
         if (!backoffs.isAnyActive(nowNanos)) {
             return OptionalLong.empty();
         }
-        OptionalLong shortest = byId.values().stream()
-                .filter(worker -> worker.entry().upstream().equals(upstream) && isEligible(worker))
+        OptionalLong shortest = eligible(upstream).stream()
                 .mapToLong(worker -> backoffs.remainingMillis(worker.incarnation(), nowNanos))
                 .min();
         return shortest.isPresent() && shortest.getAsLong() > 0 ? shortest : OptionalLong.empty();
@@ -295,9 +272,16 @@
         return entry.leaving() || leavingWorkers.contains(entry.incarnation());
     }
 
-    private boolean isEligible(WorkerState worker) {
-        WorkerEntry entry = worker.entry();
-        return !isLeaving(entry) && !evacuated.contains(entry.dataCentre()) && !isReplaced(worker);
+    private List<WorkerState> eligible(String upstream) {
+        if (indexedLeavingWorkers != leavingWorkers.additions()) {
+            indexedLeavingWorkers = leavingWorkers.additions();
+            index.invalidate();
+        }
+        return index.eligible(upstream);
+    }
+
+    private boolean isEligible(WorkerEntry entry) {
+        return !isLeaving(entry) && !evacuated.contains(entry.dataCentre());
     }
 
     /**
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/RecentOutcomes.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/RecentOutcomes.java
@@ -61,6 +61,10 @@
     }
 
     private void decay(long nowNanos) {
+        if (nowNanos == lastNanos || successes == 0 && failures == 0) {
+            lastNanos = nowNanos;
+            return;
+        }
         double factor = Math.pow(0.5, Math.max(0, nowNanos - lastNanos) / HALF_LIFE_NANOS);
         lastNanos = nowNanos;
         successes *= factor;
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/SharedSuspicion.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/SharedSuspicion.java
@@ -46,4 +46,13 @@
         }
         return suspected;
     }
+
+    /**
+     * Whether the worker is suspected, as of the last update.
+     *
+     * @return false before the first update
+     */
+    public boolean isSuspected() {
+        return suspected;
+    }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/CachedPrefixes.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/CachedPrefixes.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
 
 /**
  * Tracks which shared prompt parts each worker probably holds in its prefix cache, inferred from the requests that this
@@ -52,7 +51,15 @@
      */
     public record PartLocation(int part, int worker) {}
 
-    private record Usage(long firstSentNanos, long lastUsedNanos, long reportedNanos) {}
+    private record Usage(long firstSentNanos, long lastUsedNanos, long reportedNanos) {
+        boolean isCached(long nowNanos) {
+            return nowNanos - lastUsedNanos <= CACHE_RETENTION_NANOS;
+        }
+
+        boolean isFetchable(long nowNanos) {
+            return isCached(nowNanos) && nowNanos - firstSentNanos > PREFILL_DELAY_NANOS;
+        }
+    }
 
     /**
      * Records that a prompt was sent to a worker.
@@ -64,14 +71,13 @@
     public void recordSent(Prompt prompt, int worker, long nowNanos) {
         int shared = prompt.parts().size() - 1;
         for (int i = 0; i < shared; i++) {
-            PartLocation location = new PartLocation(prompt.parts().get(i).id().hashCode(), worker);
-            Map<Integer, Usage> usages = usages(location.part(), nowNanos);
-            Usage previous = usages.get(location.worker());
+            int part = prompt.parts().get(i).id().hashCode();
+            Map<Integer, Usage> usages = usagesByPart.computeIfAbsent(part, id -> new HashMap<>());
+            Usage previous = usages.get(worker);
             boolean report = previous == null || nowNanos - previous.reportedNanos() > REPORT_INTERVAL_NANOS;
-            long firstSent = previous == null ? nowNanos : previous.firstSentNanos();
-            usages.put(location.worker(), new Usage(firstSent, nowNanos, report ? nowNanos : previous.reportedNanos()));
+            recordUse(usages, worker, previous, report ? nowNanos : previous.reportedNanos(), nowNanos);
             if (report && unreported.size() < MAX_UNREPORTED) {
-                unreported.add(location);
+                unreported.add(new PartLocation(part, worker));
             }
         }
     }
@@ -83,10 +89,19 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordPeerReport(PartLocation location, long nowNanos) {
-        Map<Integer, Usage> usages = usages(location.part(), nowNanos);
-        Usage previous = usages.get(location.worker());
-        long firstSent = previous == null ? nowNanos : previous.firstSentNanos();
-        usages.put(location.worker(), new Usage(firstSent, nowNanos, nowNanos));
+        Map<Integer, Usage> usages = usagesByPart.computeIfAbsent(location.part(), id -> new HashMap<>());
+        recordUse(usages, location.worker(), usages.get(location.worker()), nowNanos, nowNanos);
+    }
+
+    /** Records the use of a part at a worker. Expired locations of the part are removed when another one is added. */
+    private static void recordUse(
+            Map<Integer, Usage> usages, int worker, Usage previous, long reportedNanos, long nowNanos) {
+        if (previous == null) {
+            usages.values().removeIf(usage -> !usage.isCached(nowNanos));
+        }
+        boolean stillCached = previous != null && previous.isCached(nowNanos);
+        long firstSent = stillCached ? previous.firstSentNanos() : nowNanos;
+        usages.put(worker, new Usage(firstSent, nowNanos, reportedNanos));
     }
 
     /**
@@ -100,12 +115,6 @@
         return drained;
     }
 
-    private Map<Integer, Usage> usages(int part, long nowNanos) {
-        Map<Integer, Usage> usages = usagesByPart.computeIfAbsent(part, id -> new HashMap<>());
-        usages.values().removeIf(usage -> nowNanos - usage.lastUsedNanos() > CACHE_RETENTION_NANOS);
-        return usages;
-    }
-
     /**
      * Whether at least one worker probably has a part in its cache.
      *
@@ -114,10 +123,18 @@
      * @return false if any worker that gets the part has to read it first
      */
     public boolean isCachedAnywhere(String part, long nowNanos) {
-        Map<Integer, Usage> usages = usagesByPart.get(part.hashCode());
-        return usages != null
-                && usages.values().stream()
-                        .anyMatch(usage -> nowNanos - usage.lastUsedNanos() <= CACHE_RETENTION_NANOS);
+        return isCached(usagesByPart.get(part.hashCode()), nowNanos);
+    }
+
+    private static boolean isCached(Map<Integer, Usage> usages, long nowNanos) {
+        if (usages != null) {
+            for (Usage usage : usages.values()) {
+                if (usage.isCached(nowNanos)) {
+                    return true;
+                }
+            }
+        }
+        return false;
     }
 
     /**
@@ -130,7 +147,7 @@
      * @return cached tokens, 0 if the first part is not cached
      */
     public int cachedTokens(Prompt prompt, int worker, long nowNanos) {
-        return prefixTokens(prompt, worker, usage -> nowNanos - usage.lastUsedNanos() <= CACHE_RETENTION_NANOS);
+        return lookup(prompt, nowNanos).cachedTokens(worker);
     }
 
     /**
@@ -144,23 +161,81 @@
      * @return fetchable tokens, 0 if the first part cannot be fetched
      */
     public int fetchableTokens(Prompt prompt, int worker, long nowNanos) {
-        return prefixTokens(
-                prompt,
-                worker,
-                usage -> nowNanos - usage.lastUsedNanos() <= CACHE_RETENTION_NANOS
-                        && nowNanos - usage.firstSentNanos() > PREFILL_DELAY_NANOS);
+        return lookup(prompt, nowNanos).fetchableTokens(worker);
     }
 
-    private int prefixTokens(Prompt prompt, int worker, Predicate<Usage> available) {
-        int tokens = 0;
-        for (Prompt.Part part : prompt.parts()) {
-            Map<Integer, Usage> usages = usagesByPart.get(part.id().hashCode());
-            Usage usage = usages == null ? null : usages.get(worker);
-            if (usage == null || !available.test(usage)) {
-                return tokens;
+    /**
+     * Looks up the shared parts of a prompt, for questions about many workers.
+     *
+     * @param prompt the prompt
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return the locations of the parts; valid until the next change of this object
+     */
+    Lookup lookup(Prompt prompt, long nowNanos) {
+        return new Lookup(prompt, nowNanos);
+    }
+
+    /** The locations of the parts of one prompt at one time. */
+    final class Lookup {
+        private final List<Prompt.Part> parts;
+        private final List<Map<Integer, Usage>> usages;
+        private final long nowNanos;
+
+        private Lookup(Prompt prompt, long nowNanos) {
+            this.parts = prompt.parts();
+            this.usages = new ArrayList<>(parts.size());
+            this.nowNanos = nowNanos;
+            for (Prompt.Part part : parts) {
+                Map<Integer, Usage> known = usagesByPart.get(part.id().hashCode());
+                if (known == null) {
+                    break;
+                }
+                usages.add(known);
+            }
+        }
+
+        /** Whether no worker has been sent the first part. */
+        boolean isEmpty() {
+            return usages.isEmpty();
+        }
+
+        /** Whether at least one worker probably has the last shared part in its cache. */
+        boolean isLastSharedPartCachedAnywhere() {
+            int last = parts.size() - 2;
+            if (last < 0) {
+                return false;
+            }
+            return isCached(
+                    last < usages.size()
+                            ? usages.get(last)
+                            : usagesByPart.get(parts.get(last).id().hashCode()),
+                    nowNanos);
+        }
+
+        /** See {@link CachedPrefixes#cachedTokens}. */
+        int cachedTokens(int worker) {
+            int tokens = 0;
+            for (int i = 0; i < usages.size(); i++) {
+                Usage usage = usages.get(i).get(worker);
+                if (usage == null || !usage.isCached(nowNanos)) {
+                    return tokens;
+                }
+                tokens += parts.get(i).tokens();
+            }
+            return tokens;
+        }
+
+        /** See {@link CachedPrefixes#fetchableTokens}. */
+        int fetchableTokens(int worker) {
+            int tokens = 0;
+            for (int i = 0; i < usages.size(); i++) {
+                Usage usage = usages.get(i).get(worker);
+                if (usage == null || !usage.isFetchable(nowNanos)) {
+                    return tokens;
+                }
+                tokens += parts.get(i).tokens();
             }
-            tokens += part.tokens();
+            return tokens;
         }
-        return tokens;
     }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -1,7 +1,6 @@
 package org.dotterelcourse.policy.selection;
 
-import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -95,6 +94,8 @@
     /** Cost of the latency and the traffic to another data centre. */
     private static final double REMOTE_MILLIS = 8;
 
+    private static final int[] NO_RANKS = {};
+
     private final String dataCentre;
     private final CachedPrefixes prefixes;
     private final EnginePartition partition;
@@ -135,126 +136,203 @@
      * others may receive requests.
      *
      * @param prompt the prompt
-     * @param workers all engines that the prompt may be sent to
+     * @param workers all engines that the prompt may be sent to; cheaper if they are in the order of
+     *     {@link WorkerRanking}
      * @param maxStreams limit of the requests in flight on one engine, in addition to its slots;
      *     {@link Integer#MAX_VALUE} disables both limits
      * @param nowNanos current monotonic time in nanoseconds
      * @return the selected engine, or why none was selected
      */
     public SelectionResult choose(Prompt prompt, List<WorkerLoad> workers, int maxStreams, long nowNanos) {
-        boolean anyHealthy = workers.stream().anyMatch(each -> each.canReceive() && !each.suspected());
-        List<WorkerLoad> ranked = new ArrayList<>(workers);
-        ranked.sort(Comparator.comparingInt((WorkerLoad each) -> RankHash.hash(each.address()))
-                .thenComparing(WorkerLoad::id));
+        if (workers.isEmpty()) {
+            return new SelectionResult.NoEngine();
+        }
+        List<WorkerLoad> ranked = WorkerRanking.ranked(workers);
+        boolean anyHealthy = isAnyHealthy(ranked);
         EnginePartition.Range range = partition.range(prompt.latencyClass(), ranked.size());
         // Ranks and partition must not depend on suspicions. Processes suspect different engines at different times, so
         // they would then disagree on the preferred engines of every part.
-        List<String> preferred = preferredEngines(prompt, ranked.subList(range.from(), range.to()), anyHealthy);
-        boolean cachedAnywhere = prompt.lastSharedPart()
-                .filter(part -> prefixes.isCachedAnywhere(part.id(), nowNanos))
-                .isPresent();
-        Optional<Source> source = fetchSource(prompt, ranked, nowNanos);
-        SelectionResult.Selected best = null;
+        int[] preferred = preferredRanks(prompt, ranked, range, anyHealthy);
+        CachedPrefixes.Lookup cached = prefixes.lookup(prompt, nowNanos);
+        Source source = fetchSource(ranked, cached);
+        PromptCosts costs = new PromptCosts(prompt, cached.isLastSharedPartCachedAnywhere());
+        WorkerLoad best = null;
+        int bestCached = 0;
+        boolean bestFetches = false;
         double minCost = Double.MAX_VALUE;
         for (int i = 0; i < ranked.size(); i++) {
             WorkerLoad worker = ranked.get(i);
             if (anyHealthy && worker.suspected() || !worker.canReceive() || !hasCapacity(worker, maxStreams)) {
                 continue;
             }
-            int local = prefixes.cachedTokens(prompt, worker.incarnation(), nowNanos);
-            Optional<Source> usedSource = source.filter(each -> isFetchFaster(prompt, local, each));
-            int cached = usedSource.map(Source::tokens).orElse(local);
-            double cost = loadCost(prompt, worker, cached)
-                    + fetchCost(prompt, cached - local)
-                    + rereadCost(prompt, cached, cachedAnywhere, preferred.indexOf(worker.id()))
-                    + (range.contains(i) ? 0 : partitionPenalty(prompt, cached));
+            int local = cached.cachedTokens(worker.incarnation());
+            boolean fetches = isFetchFaster(prompt, local, source.tokens());
+            int tokens = fetches ? source.tokens() : local;
+            double cost = costs.load(worker, tokens)
+                    + costs.fetch(tokens - local)
+                    + costs.reread(tokens, preference(preferred, i))
+                    + (range.contains(i) ? 0 : costs.otherPartition(tokens));
             if (cost < minCost) {
                 minCost = cost;
-                best = new SelectionResult.Selected(worker.id(), cached, usedSource.map(Source::worker));
+                best = worker;
+                bestCached = tokens;
+                bestFetches = fetches;
             }
         }
-        if (best != null) {
-            return best;
+        return best == null
+                ? new SelectionResult.NoCapacity()
+                : new SelectionResult.Selected(
+                        best.id(), bestCached, bestFetches ? Optional.of(source.worker()) : Optional.empty());
+    }
+
+    private static boolean isAnyHealthy(List<WorkerLoad> workers) {
+        for (WorkerLoad worker : workers) {
+            if (worker.canReceive() && !worker.suspected()) {
+                return true;
+            }
         }
-        return workers.isEmpty() ? new SelectionResult.NoEngine() : new SelectionResult.NoCapacity();
+        return false;
     }
 
-    /** Engine with the longest cached prefix of a prompt, from which others can fetch it. */
-    private record Source(String worker, int tokens) {}
+    /**
+     * Engine with the longest cached prefix of a prompt, from which others can fetch it.
+     *
+     * @param worker id of the engine
+     * @param tokens length of the prefix in tokens; 0 if there is no such engine
+     */
+    private record Source(String worker, int tokens) {
+        private static final Source NONE = new Source("", 0);
+    }
 
-    private Optional<Source> fetchSource(Prompt prompt, List<WorkerLoad> workers, long nowNanos) {
-        Source longest = new Source("", 0);
+    private Source fetchSource(List<WorkerLoad> workers, CachedPrefixes.Lookup cached) {
+        if (cached.isEmpty() || transferCost.millisPerToken() == Double.POSITIVE_INFINITY) {
+            return Source.NONE;
+        }
+        WorkerLoad longest = null;
+        int maxTokens = 0;
         for (WorkerLoad worker : workers) {
-            int tokens =
-                    worker.canBeFetchedFrom() ? prefixes.fetchableTokens(prompt, worker.incarnation(), nowNanos) : 0;
-            longest = tokens > longest.tokens() ? new Source(worker.id(), tokens) : longest;
+            int tokens = worker.canBeFetchedFrom() ? cached.fetchableTokens(worker.incarnation()) : 0;
+            if (tokens > maxTokens) {
+                maxTokens = tokens;
+                longest = worker;
+            }
         }
-        return longest.tokens() == 0 || transferCost.millisPerToken() == Double.POSITIVE_INFINITY
-                ? Optional.empty()
-                : Optional.of(longest);
+        return longest == null ? Source.NONE : new Source(longest.id(), maxTokens);
     }
 
-    private boolean isFetchFaster(Prompt prompt, int local, Source source) {
-        double savedMillis = prompt.prefillMillis(local) - prompt.prefillMillis(source.tokens());
-        return source.tokens() > local && transferCost.millis(source.tokens() - local) < savedMillis;
+    private boolean isFetchFaster(Prompt prompt, int local, int fetchable) {
+        return fetchable > local
+                && transferCost.millis(fetchable - local)
+                        < prompt.prefillMillis(local) - prompt.prefillMillis(fetchable);
     }
 
     private static boolean hasCapacity(WorkerLoad worker, int maxStreams) {
         return maxStreams == Integer.MAX_VALUE || worker.inFlight() < Math.min(maxStreams, Math.max(1, worker.slots()));
     }
 
-    private double loadCost(Prompt prompt, WorkerLoad worker, int cached) {
-        double prefill = prompt.prefillMillis(cached);
-        double cost = worker.prefillMillis() + prefill + STREAM_MILLIS * worker.inFlight();
-        if (worker.inFlight() >= worker.slots()) {
-            cost += NO_SLOT_MILLIS * (1 + worker.inFlight() - worker.slots()) / Math.max(1, worker.slots())
-                    + NO_SLOT_MILLIS;
+    /** Costs of one prompt on the engines. What does not depend on the engine is determined once per prompt. */
+    private final class PromptCosts {
+        private final Prompt prompt;
+        private final boolean cachedAnywhere;
+        private final boolean gapSensitive;
+        private final int sharedTokens;
+        private final double rereadWeight;
+        private final double usualPrefillMillis;
+        private final double otherPartitionMillis;
+
+        PromptCosts(Prompt prompt, boolean cachedAnywhere) {
+            this.prompt = prompt;
+            this.cachedAnywhere = cachedAnywhere;
+            LatencyClass latencyClass = prompt.latencyClass();
+            this.gapSensitive = latencyClass == LatencyClass.GAP_SENSITIVE;
+            this.sharedTokens = prompt.sharedTokens();
+            this.rereadWeight = REREAD_WEIGHT.get(latencyClass);
+            this.usualPrefillMillis = USUAL_PREFILL_MILLIS.get(latencyClass);
+            this.otherPartitionMillis = OTHER_PARTITION_MILLIS.get(latencyClass);
         }
-        if (prompt.latencyClass() != LatencyClass.GAP_SENSITIVE) {
-            cost += prefill * worker.interactiveStreams();
+
+        double load(WorkerLoad worker, int cached) {
+            double prefill = prompt.prefillMillis(cached);
+            double cost = worker.prefillMillis() + prefill + STREAM_MILLIS * worker.inFlight();
+            if (worker.inFlight() >= worker.slots()) {
+                cost += NO_SLOT_MILLIS * (1 + worker.inFlight() - worker.slots()) / Math.max(1, worker.slots())
+                        + NO_SLOT_MILLIS;
+            }
+            if (!gapSensitive) {
+                cost += prefill * worker.interactiveStreams();
+            }
+            boolean local = worker.dataCentre().equals(dataCentre);
+            return cost + (local ? 0 : REMOTE_MILLIS) + random.nextDouble() * NOISE_MILLIS;
         }
-        boolean local = worker.dataCentre().equals(dataCentre);
-        return cost + (local ? 0 : REMOTE_MILLIS) + random.nextDouble() * NOISE_MILLIS;
-    }
 
-    /**
-     * Cost of reading shared parts, in addition to the prefill time. Parts that no engine has cached cost nothing more on a
-     * preferred engine than the step between preferred engines, since one engine has to read them.
-     */
-    private static double rereadCost(Prompt prompt, int cached, boolean cachedAnywhere, int preference) {
-        double millis = Math.max(0, prompt.sharedTokens() - cached) / PREFILL_TOKENS_PER_MILLI;
-        double weight = REREAD_WEIGHT.get(prompt.latencyClass());
-        if (preference < 0) {
-            return NON_PREFERRED_FACTOR * weight * millis;
+        /**
+         * Cost of reading shared parts, in addition to the prefill time. Parts that no engine has cached cost nothing more
+         * on a preferred engine than the step between preferred engines, since one engine has to read them.
+         */
+        double reread(int cached, int preference) {
+            double millis = Math.max(0, sharedTokens - cached) / PREFILL_TOKENS_PER_MILLI;
+            if (preference < 0) {
+                return NON_PREFERRED_FACTOR * rereadWeight * millis;
+            }
+            return cachedAnywhere ? rereadWeight * millis : PREFERENCE_STEP_MILLIS * preference;
         }
-        return cachedAnywhere ? weight * millis : PREFERENCE_STEP_MILLIS * preference;
-    }
 
-    private double fetchCost(Prompt prompt, int tokens) {
-        return tokens <= 0
-                ? 0
-                : transferCost.millis(tokens)
-                        + FETCH_WEIGHT * REREAD_WEIGHT.get(prompt.latencyClass()) * tokens / PREFILL_TOKENS_PER_MILLI;
-    }
+        double fetch(int tokens) {
+            return tokens <= 0
+                    ? 0
+                    : transferCost.millis(tokens) + FETCH_WEIGHT * rereadWeight * tokens / PREFILL_TOKENS_PER_MILLI;
+        }
 
-    private static double partitionPenalty(Prompt prompt, int cached) {
-        double fraction = prompt.prefillMillis(cached) / USUAL_PREFILL_MILLIS.get(prompt.latencyClass());
-        return OTHER_PARTITION_MILLIS.get(prompt.latencyClass()) * Math.min(1, fraction);
+        double otherPartition(int cached) {
+            return otherPartitionMillis * Math.min(1, prompt.prefillMillis(cached) / usualPrefillMillis);
+        }
     }
 
-    /** Preferred engines of a prompt: rendezvous hashing of its last shared part over the engines of its partition. */
-    private static List<String> preferredEngines(Prompt prompt, List<WorkerLoad> engines, boolean anyHealthy) {
+    /**
+     * Ranks of the preferred engines of a prompt, the most preferred first: rendezvous hashing of its last shared part over
+     * the engines of its partition.
+     */
+    private static int[] preferredRanks(
+            Prompt prompt, List<WorkerLoad> ranked, EnginePartition.Range range, boolean anyHealthy) {
         Optional<Prompt.Part> part = prompt.lastSharedPart();
         if (part.isEmpty()) {
-            return List.of();
+            return NO_RANKS;
+        }
+        int key = part.get().id().hashCode();
+        int[] ranks = new int[PREFERRED_ENGINES];
+        int[] weights = new int[PREFERRED_ENGINES];
+        int count = 0;
+        for (int rank = range.from(); rank < range.to(); rank++) {
+            WorkerLoad worker = ranked.get(rank);
+            if (anyHealthy && worker.suspected()) {
+                continue;
+            }
+            int weight = RankHash.hash(key, worker.address());
+            int position = count;
+            while (position > 0 && weight > weights[position - 1]) {
+                position--;
+            }
+            if (position == PREFERRED_ENGINES) {
+                continue;
+            }
+            count = Math.min(count + 1, PREFERRED_ENGINES);
+            for (int i = count - 1; i > position; i--) {
+                ranks[i] = ranks[i - 1];
+                weights[i] = weights[i - 1];
+            }
+            ranks[position] = rank;
+            weights[position] = weight;
+        }
+        return Arrays.copyOf(ranks, count);
+    }
+
+    /** Position of an engine among the preferred ones; negative if it is not preferred. */
+    private static int preference(int[] preferred, int rank) {
+        for (int i = 0; i < preferred.length; i++) {
+            if (preferred[i] == rank) {
+                return i;
+            }
         }
-        int hash = part.get().id().hashCode();
-        return engines.stream()
-                .filter(each -> !anyHealthy || !each.suspected())
-                .sorted(Comparator.comparingInt((WorkerLoad each) -> RankHash.hash(hash, each.address()))
-                        .reversed())
-                .limit(PREFERRED_ENGINES)
-                .map(WorkerLoad::id)
-                .toList();
+        return -1;
     }
 }
