Distribute clients over VMs by spare processor capacity

Cause: VMs of 0.27 and of 1.5 cores got equal numbers of clients, so that a burst overloaded the small ones first. Change: a VM's capacity (settings capacity-share, capacity-cores) and load level are published with the membership payload; a response to a client contains the largest VMs always and others in proportion to their weight. Ruled out: repeating addresses in a response, because clients leave out duplicates; a new random sample for each response, because clients close connections to addresses that a new response lacks.

--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param name the VM's name, unique in the fleet
  * @param dataCentre the data centre of the VM
  * @param region the region of the VM
+ * @param capacityCores the processor capacity of the VM in cores; 0 if unknown
  * @param grace the grace period after SIGTERM within which the process must end
  * @param clients the listen address for client requests
  * @param readiness the listen address of the readiness endpoint
@@ -27,6 +28,7 @@
         String name,
         String dataCentre,
         String region,
+        double capacityCores,
         Duration grace,
         String clients,
         String readiness,
@@ -53,6 +55,7 @@
         private String name;
         private String dataCentre;
         private String region;
+        private double capacityCores;
         private Duration grace;
         private String clients;
         private String readiness;
@@ -101,6 +104,17 @@
             return this;
         }
 
+        /**
+         * Sets the processor capacity of the VM in cores.
+         *
+         * @param value the capacity; 0 if unknown
+         * @return this builder
+         */
+        public Builder capacityCores(double value) {
+            capacityCores = value;
+            return this;
+        }
+
         /**
          * Sets the grace period after SIGTERM within which the process must end.
          *
@@ -243,6 +257,7 @@
                     name,
                     dataCentre,
                     region,
+                    capacityCores,
                     grace,
                     clients,
                     readiness,
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
@@ -20,6 +20,7 @@
     /** Default where no time is set: the shortest time that any deployment requires. */
     private static final double DEFAULT_CHANGES_WITHIN_MILLIS = 2_000;
 
+    private static final ValueType<Double> CAPACITY_TYPE = ValueType.decimal(0.001, 1_024);
     private static final ValueType<Double> COUNT_TYPE = ValueType.decimal(0, 1_000_000);
 
     /**
@@ -40,6 +41,8 @@
                 .name(daemon.required("name", ValueType.NAME))
                 .dataCentre(daemon.required("data-centre", ValueType.NAME))
                 .region(daemon.required("region", ValueType.NAME))
+                .capacityCores(daemon.optional("capacity-share", CAPACITY_TYPE, 1.0)
+                        * daemon.optional("capacity-cores", CAPACITY_TYPE, 0.0))
                 .grace(seconds(daemon.required("grace-seconds", SECONDS_TYPE)))
                 .clients(listen.required("clients", ValueType.ADDRESS))
                 .readiness(listen.required("readiness", ValueType.ADDRESS))
@@ -69,7 +72,7 @@
 
     private static Map<String, List<String>> keys() {
         Map<String, List<String>> keys = new LinkedHashMap<>();
-        keys.put(DAEMON, List.of("name", "data-centre", "region", "grace-seconds"));
+        keys.put(DAEMON, List.of("name", "data-centre", "region", "grace-seconds", "capacity-share", "capacity-cores"));
         keys.put(LISTEN, List.of("clients", "readiness", "addresses", "peers", "metrics"));
         keys.put(
                 PLATFORM,
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
@@ -106,4 +106,25 @@
                                         "[platform] seeds")
                                 .contains("[repeats] ratio", "[repeats] more"));
     }
+
+    @Test
+    void theCapacityIsTheProductOfShareAndCores() {
+        String text = VALID.replace("grace-seconds", "capacity-share = 0.75\ncapacity-cores = 2\ngrace-seconds");
+        assertThat(reader.read("f", text))
+                .isInstanceOfSatisfying(
+                        Checked.Valid.class,
+                        valid -> assertThat(((GatewaySettings) valid.value()).capacityCores())
+                                .isEqualTo(1.5));
+    }
+
+    // Guards against clients being distributed by a wrong capacity where a deployment sets none.
+    @Test
+    void theCapacityIsUnknownIfTheNumberOfCoresIsNotSet() {
+        String text = VALID.replace("grace-seconds", "capacity-share = 0.75\ngrace-seconds");
+        assertThat(reader.read("f", text))
+                .isInstanceOfSatisfying(
+                        Checked.Valid.class,
+                        valid -> assertThat(((GatewaySettings) valid.value()).capacityCores())
+                                .isZero());
+    }
 }
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/MembershipCodec.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/MembershipCodec.java
@@ -120,7 +120,8 @@
                         .setRegion(payload.region())
                         .setConfigurationNumber(payload.configurationNumber())
                         .setConfigurationDigest(payload.configurationDigest())
-                        .setLoadPermille(payload.loadPermille()))
+                        .setLoadPermille(payload.loadPermille())
+                        .setCapacityMillicores(payload.capacityMillicores()))
                 .build();
     }
 
@@ -139,7 +140,8 @@
                         payload.getRegion(),
                         payload.getConfigurationNumber(),
                         payload.getConfigurationDigest(),
-                        payload.getLoadPermille()),
+                        payload.getLoadPermille(),
+                        payload.getCapacityMillicores()),
                 proto.getPayloadVersion());
     }
 
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Payload.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Payload.java
@@ -9,6 +9,7 @@
  * @param configurationNumber number of the configuration that the member has in force, 0 for none
  * @param configurationDigest digest of that configuration
  * @param loadPermille the member's approximate load in thousandths of its capacity
+ * @param capacityMillicores processor capacity of the member's VM in thousandths of a core, 0 if unknown
  */
 public record Payload(
         String clientAddress,
@@ -16,7 +17,45 @@
         String region,
         long configurationNumber,
         long configurationDigest,
-        int loadPermille) {
+        int loadPermille,
+        int capacityMillicores) {
+
+    /**
+     * Creates the payload of a member with unknown capacity.
+     *
+     * @param clientAddress IP address and port at which the member accepts clients, empty while there is none
+     * @param dataCentre the member's data centre
+     * @param region the member's region
+     * @param configurationNumber number of the configuration that the member has in force, 0 for none
+     * @param configurationDigest digest of that configuration
+     * @param loadPermille the member's approximate load in thousandths of its capacity
+     */
+    public Payload(
+            String clientAddress,
+            String dataCentre,
+            String region,
+            long configurationNumber,
+            long configurationDigest,
+            int loadPermille) {
+        this(clientAddress, dataCentre, region, configurationNumber, configurationDigest, loadPermille, 0);
+    }
+
+    /**
+     * Returns this payload with another client address.
+     *
+     * @param address IP address and port at which the member accepts clients
+     * @return the changed payload
+     */
+    public Payload withClientAddress(String address) {
+        return new Payload(
+                address,
+                dataCentre,
+                region,
+                configurationNumber,
+                configurationDigest,
+                loadPermille,
+                capacityMillicores);
+    }
 
     /**
      * Returns this payload with another configuration in force.
@@ -26,7 +65,7 @@
      * @return the changed payload
      */
     public Payload withConfiguration(long number, long digest) {
-        return new Payload(clientAddress, dataCentre, region, number, digest, loadPermille);
+        return new Payload(clientAddress, dataCentre, region, number, digest, loadPermille, capacityMillicores);
     }
 
     /**
@@ -36,6 +75,24 @@
      * @return the changed payload
      */
     public Payload withLoad(int permille) {
-        return new Payload(clientAddress, dataCentre, region, configurationNumber, configurationDigest, permille);
+        return new Payload(
+                clientAddress,
+                dataCentre,
+                region,
+                configurationNumber,
+                configurationDigest,
+                permille,
+                capacityMillicores);
+    }
+
+    /**
+     * Returns this payload with another capacity.
+     *
+     * @param millicores processor capacity in thousandths of a core, 0 if unknown
+     * @return the changed payload
+     */
+    public Payload withCapacity(int millicores) {
+        return new Payload(
+                clientAddress, dataCentre, region, configurationNumber, configurationDigest, loadPermille, millicores);
     }
 }
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipCodecPropertyTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipCodecPropertyTest.java
@@ -59,7 +59,8 @@
                 "r-" + random.nextInt(3),
                 random.nextLong(),
                 random.nextLong(),
-                random.nextInt(1_000));
+                random.nextInt(1_000),
+                random.nextInt(4_000));
         MemberState state = MemberState.values()[random.nextInt(4)];
         MemberId id = new MemberId("entry-" + random.nextInt(400), random.nextLong());
         return new Update(id, SimulatedNetwork.address(random.nextInt(60_000)), state, payload, random.nextLong());
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/peers/Peers.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -252,13 +253,16 @@
      */
     public void publishCallersPort(int port) {
         String address = settings.address() + ":" + port;
-        transport.execute(() -> publishPayload(new Payload(
-                address,
-                payload.dataCentre(),
-                payload.region(),
-                payload.configurationNumber(),
-                payload.configurationDigest(),
-                payload.loadPermille())));
+        transport.execute(() -> publishPayload(payload.withClientAddress(address)));
+    }
+
+    /**
+     * Changes what this daemon publishes about itself.
+     *
+     * @param change returns the changed payload, called on the transport's thread
+     */
+    public void updatePayload(UnaryOperator<Payload> change) {
+        transport.execute(() -> publishPayload(change.apply(payload)));
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ClientAddresses.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ClientAddresses.java
@@ -2,8 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.dotterelcourse.coordination.MemberId;
 import org.dotterelcourse.coordination.membership.Member;
 import org.dotterelcourse.coordination.membership.MemberState;
 import org.dotterelcourse.daemon.kernel.Kernel;
@@ -11,9 +16,15 @@
 import org.dotterelcourse.daemon.kernel.ServiceName;
 import org.dotterelcourse.daemon.kernel.StartupFailure;
 import org.dotterelcourse.daemon.peers.Peers;
+import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.edge.ClientHttpServer;
 import org.dotterelcourse.gateway.edge.Shutdown;
+import org.dotterelcourse.gateway.metrics.GatewayMetrics;
+import org.dotterelcourse.policy.distribution.ClientDistribution;
+import org.dotterelcourse.policy.distribution.LoadLevel;
+import org.dotterelcourse.policy.distribution.ServingMember;
+import org.jboss.logging.Logger;
 
 /** Lists the addresses that clients may connect to, according to this process's view of the fleet. */
 public final class ClientAddresses implements Service {
@@ -21,9 +32,41 @@
     public static final ServiceName<ClientAddresses> NAME =
             new ServiceName<>("client-addresses", ClientAddresses.class);
 
+    private static final Logger LOG = Logger.getLogger(ClientAddresses.class);
+
+    private static final double MILLICORES_PER_CORE = 1_000;
+
+    /** Period at which the load of this process is measured. */
+    private static final long LOAD_PERIOD_MILLIS = 1_000;
+
+    /** Time after its start for which a process counts as warming: its first seconds of work run uncompiled code. */
+    private static final long WARMING_NANOS = 5_000_000_000L;
+
+    /**
+     * Period after which a client gets other members of lower weight. Without it, a deployment with few clients would never
+     * use some VMs.
+     */
+    private static final long ROTATION_MILLIS = 10_000;
+
+    private final double capacityCores;
+    private final LoadLevel loadLevel = new LoadLevel();
+    private final Map<MemberId, Long> firstSeenNanos = new HashMap<>();
+    private int publishedLoad;
     private Peers peers;
     private Shutdown shutdown;
     private GatewayState state;
+    private GatewayLoop loop;
+    private Counter responses;
+    private Counter returnedAddresses;
+
+    /**
+     * Creates the service.
+     *
+     * @param capacityCores processor capacity of this process's VM in cores; 0 if unknown
+     */
+    public ClientAddresses(double capacityCores) {
+        this.capacityCores = capacityCores;
+    }
 
     @Override
     public ServiceName<ClientAddresses> name() {
@@ -32,7 +75,13 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(Peers.NAME, Shutdown.NAME, GatewayState.NAME, ClientHttpServer.NAME);
+        return List.of(
+                GatewayLoop.NAME,
+                GatewayMetrics.NAME,
+                Peers.NAME,
+                Shutdown.NAME,
+                GatewayState.NAME,
+                ClientHttpServer.NAME);
     }
 
     @Override
@@ -40,7 +89,17 @@
         peers = kernel.find(Peers.NAME);
         shutdown = kernel.find(Shutdown.NAME);
         state = kernel.find(GatewayState.NAME);
+        loop = kernel.find(GatewayLoop.NAME);
+        MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
+        responses = metrics.counter("gateway.capacity.responses");
+        returnedAddresses = metrics.counter("gateway.capacity.addresses");
+        metrics.gauge("gateway.capacity.load_permille", () -> () -> publishedLoad);
         peers.publishCallersPort(kernel.find(ClientHttpServer.NAME).port());
+        if (capacityCores > 0) {
+            int millicores = (int) Math.round(capacityCores * MILLICORES_PER_CORE);
+            peers.updatePayload(payload -> payload.withCapacity(millicores));
+            loop.runAtNextMultiple(LOAD_PERIOD_MILLIS, this::measureLoad);
+        }
         return List.of();
     }
 
@@ -58,12 +117,36 @@
         return state.isReady() && !shutdown.hasBegun();
     }
 
+    private void measureLoad() {
+        int load = loadLevel.update(loop.lagMillis(), loop.nowNanos());
+        if (load != publishedLoad) {
+            LOG.infof(
+                    "event loop is %.0f ms late on average, publishing a load of %d permille in place of %d",
+                    loadLevel.averageLagMillis(), load, publishedLoad);
+            publishedLoad = load;
+            peers.updatePayload(payload -> payload.withLoad(load));
+        }
+        loop.runAtNextMultiple(LOAD_PERIOD_MILLIS, this::measureLoad);
+    }
+
     /**
-     * Returns the addresses of the processes that serve clients, in random order.
+     * Returns the addresses of processes that a client should use, in random order. Processes with little spare capacity are
+     * returned to a part of the clients only.
      *
+     * @param client identifies the client; equal values mostly get the same addresses
      * @return IP addresses and ports, separated by colons; empty if no process is known to serve
      */
-    public List<String> usableAddresses() {
+    public List<String> usableAddresses(String client) {
+        List<ServingMember> members = usableMembers();
+        long period = System.currentTimeMillis() / ROTATION_MILLIS;
+        List<String> addresses = new ArrayList<>(ClientDistribution.select(members, client + "/" + period));
+        responses.inc();
+        returnedAddresses.inc(addresses.size());
+        Collections.shuffle(addresses);
+        return addresses;
+    }
+
+    private List<ServingMember> usableMembers() {
         List<Member> serving = new ArrayList<>();
         List<Member> suspected = new ArrayList<>();
         for (Member member : peers.view()) {
@@ -78,8 +161,18 @@
         if (suspected.size() >= serving.size()) {
             serving.addAll(suspected);
         }
-        Collections.shuffle(serving);
-        return serving.stream().map(member -> member.payload().clientAddress()).toList();
+        long nowNanos = loop.nowNanos();
+        firstSeenNanos.keySet().retainAll(serving.stream().map(Member::id).toList());
+        return serving.stream().map(member -> toServing(member, nowNanos)).toList();
+    }
+
+    private ServingMember toServing(Member member, long nowNanos) {
+        long firstSeen = firstSeenNanos.computeIfAbsent(member.id(), id -> nowNanos);
+        return new ServingMember(
+                member.payload().clientAddress(),
+                member.payload().capacityMillicores(),
+                member.payload().loadPermille(),
+                nowNanos - firstSeen < WARMING_NANOS);
     }
 
     private static boolean serves(Member member) {
