--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/distribution/ClientDistributionTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/distribution/ClientDistributionTest.java
@@ -73,6 +73,22 @@
                 .hasSizeBetween(15, 64);
     }
 
+    // Guards against clients that know no running router for as long as they keep a response after the large VMs are
+    // lost.
+    @Test
+    void theLossOfAllLargeVmsLeavesEachClientSeveralAddresses() {
+        List<ServingMember> members = unevenFleet();
+        List<String> lost = members.stream()
+                .filter(member -> member.capacityMillicores() == LARGE)
+                .map(ServingMember::address)
+                .toList();
+        for (int client = 0; client < 500; client++) {
+            List<String> left = new ArrayList<>(ClientDistribution.select(members, "client-" + client));
+            left.removeAll(lost);
+            assertThat(left).hasSizeGreaterThanOrEqualTo(4);
+        }
+    }
+
     @Test
     void aFleetOfEqualVmsGetsAllAddresses() {
         List<ServingMember> members = new ArrayList<>();
