Find routes with an index by path segments

Cause: a request compares its path with all routes of its host; with 1,760 routes of one host this takes 21 to 41 us of processor time. Change: RouteIndex, a trie by path segments; the builder of a routing table fills the index, the upstreams and the urgency levels as parts are added, so that build() takes constant time and a table can be put together in steps. Ruled out: a map of whole prefixes, which hashes every prefix of a long path.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
@@ -1,7 +1,5 @@
 package org.dotterelcourse.gateway.routing;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -17,8 +15,8 @@
  */
 public final class RoutingTable {
     private final long number;
-    private final Map<String, List<Route>> routesByHost = new HashMap<>();
-    private final Map<String, UpstreamSpec> upstreams = new HashMap<>();
+    private final RouteIndex routes;
+    private final Map<String, UpstreamSpec> upstreams;
     private final Map<String, Customer> customersByKey;
     private final UrgencyLevels urgencyLevels;
     private final boolean requiresKey;
@@ -26,18 +24,10 @@
 
     private RoutingTable(Builder builder) {
         number = builder.number;
-        for (Route route : builder.routes) {
-            routesByHost
-                    .computeIfAbsent(route.host(), host -> new ArrayList<>())
-                    .add(route);
-        }
-        Comparator<Route> longestFirst = Comparator.comparingInt(
-                        (Route route) -> route.pathPrefix().length())
-                .reversed();
-        routesByHost.values().forEach(routes -> routes.sort(longestFirst));
-        builder.upstreams.forEach(upstream -> upstreams.put(upstream.name(), upstream));
-        customersByKey = Map.copyOf(builder.customersByKey);
-        urgencyLevels = new UrgencyLevels(builder.routes, builder.customersByKey.values());
+        routes = builder.routes;
+        upstreams = builder.upstreams;
+        customersByKey = builder.customersByKey;
+        urgencyLevels = builder.urgencyLevels;
         requiresKey = builder.requiresKey;
         limits = builder.limits;
     }
@@ -78,10 +68,7 @@
      * @return the route; empty if none matches
      */
     public Optional<Route> route(String hostHeader, String path) {
-        List<Route> routes = routesByHost.getOrDefault(normalizeHost(hostHeader), List.of());
-        return routes.stream()
-                .filter(route -> path.startsWith(route.pathPrefix()))
-                .findFirst();
+        return routes.find(normalizeHost(hostHeader), path);
     }
 
     /**
@@ -151,11 +138,13 @@
         private static final RequestLimits DEFAULT_LIMITS = new RequestLimits(4 << 20);
 
         private final long number;
-        private final List<Route> routes = new ArrayList<>();
-        private final List<UpstreamSpec> upstreams = new ArrayList<>();
+        private final RouteIndex routes = new RouteIndex();
+        private final Map<String, UpstreamSpec> upstreams = new HashMap<>();
         private final Map<String, Customer> customersByKey = new HashMap<>();
+        private final UrgencyLevels urgencyLevels = new UrgencyLevels();
         private boolean requiresKey;
         private RequestLimits limits = DEFAULT_LIMITS;
+        private boolean built;
 
         private Builder(long number) {
             this.number = number;
@@ -168,7 +157,9 @@
          * @return this builder
          */
         public Builder route(Route route) {
+            checkNotBuilt();
             routes.add(route);
+            urgencyLevels.addRoute(route);
             return this;
         }
 
@@ -179,7 +170,8 @@
          * @return this builder
          */
         public Builder upstream(UpstreamSpec upstream) {
-            upstreams.add(upstream);
+            checkNotBuilt();
+            upstreams.put(upstream.name(), upstream);
             return this;
         }
 
@@ -191,8 +183,15 @@
          * @return this builder
          */
         public Builder customer(Customer customer, List<String> keys) {
+            checkNotBuilt();
             requiresKey = true;
-            keys.forEach(key -> customersByKey.put(key, customer));
+            for (String key : keys) {
+                Customer replaced = customersByKey.put(key, customer);
+                urgencyLevels.addCustomerKey(customer);
+                if (replaced != null) {
+                    urgencyLevels.removeCustomerKey(replaced);
+                }
+            }
             return this;
         }
 
@@ -218,12 +217,22 @@
         }
 
         /**
-         * Builds the table.
+         * Builds the table in constant time, so that a large one can be put together in several steps. Nothing can be
+         * added afterwards.
          *
          * @return an immutable table with everything added so far
+         * @throws IllegalStateException if the table has been built already
          */
         public RoutingTable build() {
+            checkNotBuilt();
+            built = true;
             return new RoutingTable(this);
         }
+
+        private void checkNotBuilt() {
+            if (built) {
+                throw new IllegalStateException("the routing table has been built already");
+            }
+        }
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/UrgencyLevels.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/UrgencyLevels.java
@@ -1,9 +1,9 @@
 package org.dotterelcourse.gateway.routing;
 
-import java.util.Collection;
-import java.util.List;
+import java.util.NavigableMap;
 import java.util.NavigableSet;
 import java.util.OptionalInt;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -20,12 +20,24 @@
     /** Engines distinguish ten levels, 0 being the most urgent. */
     private static final int MAX_LEVELS = 10;
 
-    private final NavigableSet<Integer> customerPriorities = new TreeSet<>();
+    /** Number of keys of customers with each priority. */
+    private final NavigableMap<Integer, Integer> customerPriorities = new TreeMap<>();
+
     private final NavigableSet<Integer> routePriorities = new TreeSet<>();
 
-    UrgencyLevels(List<Route> routes, Collection<Customer> customers) {
-        routes.forEach(route -> routePriorities.add(route.priority()));
-        customers.forEach(customer -> customer.priority().ifPresent(customerPriorities::add));
+    void addRoute(Route route) {
+        routePriorities.add(route.priority());
+    }
+
+    /** Adds a key of a customer. Customers without keys send no requests, so that their priorities need no level. */
+    void addCustomerKey(Customer customer) {
+        customer.priority().ifPresent(priority -> customerPriorities.merge(priority, 1, Integer::sum));
+    }
+
+    void removeCustomerKey(Customer customer) {
+        customer.priority()
+                .ifPresent(priority ->
+                        customerPriorities.computeIfPresent(priority, (key, count) -> count == 1 ? null : count - 1));
     }
 
     /**
@@ -38,7 +50,7 @@
     int level(Route route, OptionalInt customerPriority) {
         int routeRank = routePriorities.headSet(route.priority()).size();
         int customerRank = customerPriority.isPresent()
-                ? customerPriorities.headSet(customerPriority.getAsInt()).size()
+                ? customerPriorities.headMap(customerPriority.getAsInt()).size()
                 : Math.max(0, customerPriorities.size() - 1);
         int level = routeRank * Math.max(1, customerPriorities.size()) + customerRank;
         int maxLevel = Math.max(1, customerPriorities.size()) * Math.max(1, routePriorities.size()) - 1;
