Large configurations: compressed relay along a tree, decoding in steps

Cause: a configuration of 412 KB is sent uncompressed to each of some eight receivers over a link of 7 Mbit/s (3.8 s); while it is on its way, all others lag behind, request it again every 150 ms and read the store themselves, and each of them sends it to all others again. Decoding it blocks the event loop. Requests for missed items are answered with the changes after the revision in the request, compressed; the next request follows after 450 ms. Changes that a peer has already sent are not sent or forwarded again. Settings [configuration] step-milliseconds and compress-above-bytes. Fixed in PublishedItems and Publications. Ruled out: compressed items on the old channel (an older process would take them for no changes), an announcement before a large message.

--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param metrics the listen address of the metrics endpoint; empty if it is disabled
  * @param store the address of the platform's store
  * @param changesWithin the maximum time until a published change is in force on every process
+ * @param configurationUpdate how a published configuration is taken over
  * @param seeds the addresses of the peers contacted first to join the cluster
  * @param repeatRatio the retry budget of an upstream, in retries per request
  * @param repeatExtra retries allowed across the whole fleet in each window in addition to {@code repeatRatio}
@@ -35,6 +36,7 @@
         String metrics,
         String store,
         Duration changesWithin,
+        ConfigurationUpdate configurationUpdate,
         List<String> seeds,
         double repeatRatio,
         double repeatExtra,
@@ -61,6 +63,7 @@
         private String metrics = "";
         private String store;
         private Duration changesWithin;
+        private ConfigurationUpdate configurationUpdate = ConfigurationUpdate.DEFAULT;
         private List<String> seeds = List.of();
         private double repeatRatio;
         private double repeatExtra;
@@ -189,6 +192,17 @@
             return this;
         }
 
+        /**
+         * Sets how a published configuration is taken over. The default is {@link ConfigurationUpdate#DEFAULT}.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder configurationUpdate(ConfigurationUpdate value) {
+            configurationUpdate = value;
+            return this;
+        }
+
         /**
          * Sets the addresses of the peers contacted first to join the cluster.
          *
@@ -251,6 +265,7 @@
                     metrics,
                     store,
                     changesWithin,
+                    configurationUpdate,
                     seeds,
                     repeatRatio,
                     repeatExtra,
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
@@ -11,15 +11,23 @@
     private static final String DAEMON = "daemon";
     private static final String LISTEN = "listen";
     private static final String PLATFORM = "platform";
+    private static final String CONFIGURATION = "configuration";
     private static final String REPEATS = "repeats";
     private static final Map<String, List<String>> KEYS = keys();
     private static final double MILLIS_PER_SECOND = 1_000;
+    private static final double NANOS_PER_MILLI = 1_000_000;
     private static final ValueType<Double> SECONDS_TYPE = ValueType.decimal(0.001, 86_400);
     private static final double MAX_MILLIS = 3_600_000;
     private static final ValueType<Double> MILLIS_TYPE = ValueType.decimal(100, MAX_MILLIS);
     /** Default where no time is set: the shortest time that any deployment requires. */
     private static final double DEFAULT_CHANGES_WITHIN_MILLIS = 2_000;
 
+    /** A longer step would delay the events of all streams by more than their shortest gap target allows. */
+    private static final ValueType<Double> STEP_MILLIS_TYPE = ValueType.decimal(0.5, 50);
+
+    /** Messages above 2 MiB are not sent, so a larger threshold would have no effect. */
+    private static final ValueType<Long> COMPRESS_BYTES_TYPE = ValueType.integer(1_024, 2 << 20);
+
     private static final ValueType<Double> COUNT_TYPE = ValueType.decimal(0, 1_000_000);
 
     /**
@@ -51,6 +59,7 @@
                         platform.optional("configuration-milliseconds", MILLIS_TYPE, DEFAULT_CHANGES_WITHIN_MILLIS),
                         platform.optional("leaving-milliseconds", MILLIS_TYPE, DEFAULT_CHANGES_WITHIN_MILLIS),
                         platform.optional("evacuation-milliseconds", MILLIS_TYPE, MAX_MILLIS)))
+                .configurationUpdate(configurationUpdate(platform, sections.section(CONFIGURATION)))
                 .seeds(platform.optional("seeds", ValueType.ADDRESSES, List.of()))
                 .repeatRatio(repeats.required("ratio", COUNT_TYPE))
                 .repeatExtra(repeats.required("extra", COUNT_TYPE))
@@ -63,6 +72,21 @@
         return Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
     }
 
+    private static ConfigurationUpdate configurationUpdate(SectionReader platform, SectionReader configuration) {
+        ConfigurationUpdate byDefault = ConfigurationUpdate.DEFAULT;
+        double withinMillis =
+                platform.optional("configuration-milliseconds", MILLIS_TYPE, DEFAULT_CHANGES_WITHIN_MILLIS);
+        double stepMillis = configuration.optional(
+                "step-milliseconds", STEP_MILLIS_TYPE, (double) byDefault.step().toMillis());
+        long compressAboveBytes = configuration.optional(
+                "compress-above-bytes", COMPRESS_BYTES_TYPE, (long) byDefault.compressAboveBytes());
+        return new ConfigurationUpdate(shortest(withinMillis), ofMillis(stepMillis), (int) compressAboveBytes);
+    }
+
+    private static Duration ofMillis(double millis) {
+        return Duration.ofNanos(Math.round(millis * NANOS_PER_MILLI));
+    }
+
     private static Duration shortest(double... millis) {
         return Duration.ofMillis(Math.round(Arrays.stream(millis).min().orElseThrow()));
     }
@@ -79,6 +103,7 @@
                         "leaving-milliseconds",
                         "evacuation-milliseconds",
                         "seeds"));
+        keys.put(CONFIGURATION, List.of("step-milliseconds", "compress-above-bytes"));
         keys.put(REPEATS, List.of("ratio", "extra", "window-seconds"));
         return keys;
     }
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
@@ -69,6 +69,22 @@
                                 .isEqualTo(Duration.ofSeconds(2)));
     }
 
+    @Test
+    void theTakeoverOfConfigurationsIsSetInItsOwnSection() {
+        String text = VALID + "[configuration]\nstep-milliseconds = 1.5\ncompress-above-bytes = 4096\n";
+        assertThat(reader.read("f", text))
+                .isInstanceOfSatisfying(
+                        Checked.Valid.class,
+                        valid -> assertThat(((GatewaySettings) valid.value()).configurationUpdate())
+                                .isEqualTo(new ConfigurationUpdate(
+                                        Duration.ofMillis(4_000), Duration.ofNanos(1_500_000), 4_096)));
+        assertThat(reader.read("f", VALID.replace("configuration-milliseconds = 4000\n", "")))
+                .isInstanceOfSatisfying(
+                        Checked.Valid.class,
+                        valid -> assertThat(((GatewaySettings) valid.value()).configurationUpdate())
+                                .isEqualTo(ConfigurationUpdate.DEFAULT));
+    }
+
     // The platform writes computed values with all digits of a double. Rejecting them would prevent every gateway
     // process of the deployment from starting.
     @ParameterizedTest
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
@@ -1,8 +1,13 @@
 package org.dotterelcourse.gateway.fleet;
 
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
 
-import com.google.protobuf.ByteString;
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.dotterelcourse.coordination.collect.CollectorPlan;
 import org.dotterelcourse.coordination.membership.Member;
@@ -15,6 +20,7 @@
 import org.dotterelcourse.daemon.peers.Peers;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
+import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.published.Publications;
 import org.dotterelcourse.gateway.published.PublishedItem;
 import org.dotterelcourse.gateway.published.StorePosition;
@@ -23,7 +29,11 @@
 /**
  * Relays published items between processes. A process that follows the store sends changes to all processes of its data
  * centre and to one relay in each other data centre, which forwards them there, so that each change is sent to another
- * data centre only once. A process that has missed changes requests a snapshot from a peer.
+ * data centre only once. A process that has missed changes requests them from a peer.
+ *
+ * <p>Answers the load of large configurations: 412 KB sent to each of eight receivers occupy a link of 7 Mbit/s for 3.8
+ * s. Changes above a size are therefore compressed and sent along a {@link ForwardingTree}. They use a channel of their
+ * own, because a process that does not know compressed items would take such a message for one without changes.
  *
  * <p>Without the relay, a process that the store rejects would continue to use revoked keys and removed workers for as
  * long as the store rejects it, and every process would have to poll the store itself.
@@ -36,16 +46,49 @@
     private static final String ITEMS_REQUEST = "gateway-items-request";
     private static final String ITEMS = "gateway-items";
 
-    /** How long a process that lags behind a peer waits for the missing changes before it requests a snapshot. */
-    private static final long SNAPSHOT_REQUEST_DELAY_MILLIS = 150;
+    /** Channels of the processes that know compressed items. */
+    private static final String COMPRESSED_ITEMS_REQUEST = "gateway-items-request-compressed";
+
+    private static final String COMPRESSED_ITEMS = "gateway-items-compressed";
+
+    /** How long a process that lags behind a peer waits for the missing changes before it requests them. */
+    private static final long REQUEST_DELAY_MILLIS = 150;
+
+    /**
+     * How long a process waits for the response to a request before the next one. A response with 18,000 customers takes
+     * 140 ms on a link of 7 Mbit/s; a repeated request would only lengthen the queue on that link.
+     */
+    private static final long RESPONSE_TIMEOUT_MILLIS = 450;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long LOG_INTERVAL_NANOS = 10_000 * NANOS_PER_MILLI;
+
+    private final int compressAboveBytes;
     private GatewayLoop loop;
     private Publications publications;
     private Peers peers;
     private PeerTransport transport;
+    private Counter compressedMessages;
+    private Counter forwardedMessages;
+    private Counter invalidMessages;
+    private Counter requests;
     private boolean requestScheduled;
+    private long responseDueNanos;
+    private boolean peerLacksCompression;
+    private long nextInvalidLogNanos;
+    private String peerAhead = "";
+    private StorePosition peerPosition = StorePosition.NONE;
     private StorePosition highestPosition = StorePosition.NONE;
 
+    /**
+     * Creates the service.
+     *
+     * @param compressAboveBytes size in bytes above which a message with items is compressed and sent along a tree
+     */
+    public ItemRelay(int compressAboveBytes) {
+        this.compressAboveBytes = compressAboveBytes;
+    }
+
     @Override
     public ServiceName<ItemRelay> name() {
         return NAME;
@@ -53,7 +96,7 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(GatewayLoop.NAME, Publications.NAME, Peers.NAME);
+        return List.of(GatewayLoop.NAME, GatewayMetrics.NAME, Publications.NAME, Peers.NAME);
     }
 
     @Override
@@ -62,23 +105,36 @@
         publications = kernel.find(Publications.NAME);
         peers = kernel.find(Peers.NAME);
         transport = peers.transport();
-        transport.registerHandler(
-                ITEMS_REQUEST,
-                message -> loop.execute(() -> sendSnapshot(message.sender().name())));
-        transport.registerHandler(
-                ITEMS, message -> loop.execute(() -> receive(message.sender().name(), message.body())));
+        responseDueNanos = loop.nowNanos();
+        nextInvalidLogNanos = loop.nowNanos();
+        MetricRegistry registry = kernel.find(GatewayMetrics.NAME).registry();
+        compressedMessages = registry.counter("gateway.configuration.compressed-messages");
+        forwardedMessages = registry.counter("gateway.configuration.forwarded-messages");
+        invalidMessages = registry.counter("gateway.configuration.invalid-messages");
+        requests = registry.counter("gateway.configuration.requests-to-peers");
+        registerHandler(ITEMS_REQUEST, (peer, body) -> respond(peer, body, false));
+        registerHandler(COMPRESSED_ITEMS_REQUEST, (peer, body) -> respond(peer, body, true));
+        registerHandler(ITEMS, this::receive);
+        registerHandler(COMPRESSED_ITEMS, this::receive);
         publications.setReadListener(this::distribute);
+        publications.setSnapshotListener(this::distributeSnapshot);
         return List.of();
     }
 
+    private void registerHandler(String channel, BiConsumer<String, byte[]> handler) {
+        transport.registerHandler(
+                channel,
+                message -> loop.execute(() -> handler.accept(message.sender().name(), message.body())));
+    }
+
     @Override
     public void stop() {
         // Holds no resources.
     }
 
     /**
-     * Records the position up to which a peer knows all changes, and schedules a request for a snapshot if this process
-     * lags behind any peer.
+     * Records the position up to which a peer knows all changes, and schedules a request for the missing ones if this
+     * process lags behind any peer.
      *
      * @param peer name of the peer
      * @param position position of the peer
@@ -87,40 +143,78 @@
         highestPosition = position.isAfter(highestPosition) ? position : highestPosition;
         boolean stale = highestPosition.isAfter(publications.position());
         publications.followerElection().recordStaleness(stale, loop.nowNanos());
+        peerLacksCompression = peerLacksCompression && stale;
+        if (position.isAfter(publications.position())) {
+            peerAhead = peer;
+            peerPosition = position;
+        }
         if (stale && !requestScheduled) {
             requestScheduled = true;
-            loop.runAfter(SNAPSHOT_REQUEST_DELAY_MILLIS, () -> requestIfStale(peer, position));
+            long responseMillis = (responseDueNanos - loop.nowNanos()) / NANOS_PER_MILLI;
+            loop.runAfter(Math.max(REQUEST_DELAY_MILLIS, responseMillis), this::requestIfStale);
         }
     }
 
-    private void requestIfStale(String peer, StorePosition position) {
+    /** Requests missing changes. Every second request can be understood by a peer that does not know compressed items. */
+    private void requestIfStale() {
         requestScheduled = false;
-        if (position.isAfter(publications.position())) {
+        if (peerPosition.isAfter(publications.position())) {
             FleetProtos.ItemsRequest request = FleetProtos.ItemsRequest.newBuilder()
                     .setRevision(publications.position().revision())
                     .setEra(publications.position().era())
                     .build();
-            peers.send(peer, ITEMS_REQUEST, request.toByteArray());
+            String channel = peerLacksCompression ? ITEMS_REQUEST : COMPRESSED_ITEMS_REQUEST;
+            peerLacksCompression = !peerLacksCompression;
+            responseDueNanos = loop.nowNanos() + RESPONSE_TIMEOUT_MILLIS * NANOS_PER_MILLI;
+            requests.inc();
+            peers.send(peerAhead, channel, request.toByteArray());
         }
     }
 
-    private void sendSnapshot(String peer) {
-        FleetProtos.Items message = encode(publications.live(), publications.position())
-                .setHoldMillis((int) publications.deletionHoldMillis())
-                .build();
-        peers.send(peer, ITEMS, message.toByteArray());
+    /** Sends a peer the changes that it has missed, or all items if these changes are not known. */
+    private void respond(String peer, byte[] body, boolean compressed) {
+        StorePosition after;
+        try {
+            FleetProtos.ItemsRequest request = FleetProtos.ItemsRequest.parseFrom(body);
+            after = new StorePosition(request.getEra(), request.getRevision());
+        } catch (InvalidProtocolBufferException e) {
+            rejectMessage(peer, e);
+            return;
+        }
+        Optional<List<PublishedItem>> changes = publications.changesAfter(after);
+        FleetProtos.Items.Builder message = ItemsCodec.encode(
+                        changes.orElseGet(publications::live), publications.position())
+                .setHoldMillis((int) publications.deletionHoldMillis());
+        if (changes.isPresent()) {
+            message.setAfter(after.revision()).setAfterEra(after.era());
+        }
+        FleetProtos.Items plain = message.build();
+        if (compressed && plain.getSerializedSize() > compressAboveBytes) {
+            compressedMessages.inc();
+            peers.send(peer, COMPRESSED_ITEMS, ItemsCodec.compress(plain).toByteArray());
+        } else {
+            peers.send(peer, ITEMS, plain.toByteArray());
+        }
     }
 
     /**
      * Sends changes that this process has read from the store to its data centre and to the relay of each other one.
+     * Large ones are sent along a tree, unless a peer has already sent them here: then it has sent them to all others.
      */
-    private void distribute(List<PublishedItem> changes, StorePosition after, StorePosition upTo) {
-        byte[] body = encode(changes, upTo)
+    private void distribute(List<PublishedItem> changes, StorePosition after, StorePosition upTo, boolean hasNew) {
+        FleetProtos.Items message = ItemsCodec.encode(changes, upTo)
                 .setAfter(after.revision())
                 .setAfterEra(after.era())
                 .setHoldMillis((int) publications.deletionHoldMillis())
-                .build()
-                .toByteArray();
+                .build();
+        if (message.getSerializedSize() > compressAboveBytes) {
+            if (hasNew) {
+                compressedMessages.inc();
+                sendAlongTree(ItemsCodec.compress(message), otherMembers());
+            }
+            return;
+        }
+        byte[] body = message.toByteArray();
         sendWithinDataCentre(body);
         List<String> relays = plan().otherRelays();
         for (Member member : peers.view()) {
@@ -130,6 +224,36 @@
         }
     }
 
+    private void distributeSnapshot() {
+        FleetProtos.Items message = ItemsCodec.encode(publications.live(), publications.position())
+                .setHoldMillis((int) publications.deletionHoldMillis())
+                .build();
+        compressedMessages.inc();
+        sendAlongTree(ItemsCodec.compress(message), otherMembers());
+    }
+
+    /** Returns all other members that are not dead; suspected ones last, so that they don't forward for others. */
+    private List<Member> otherMembers() {
+        return peers.view().stream()
+                .filter(member -> !member.name().equals(peers.self()) && member.state() != MemberState.DEAD)
+                .sorted(Comparator.comparing(member -> member.state() != MemberState.ALIVE))
+                .toList();
+    }
+
+    private void sendAlongTree(FleetProtos.Items message, List<Member> receivers) {
+        List<ForwardingTree.Receiver> names = receivers.stream()
+                .map(member -> new ForwardingTree.Receiver(
+                        member.name(), member.payload().dataCentre()))
+                .toList();
+        for (ForwardingTree.Branch branch : ForwardingTree.divide(names, peers.dataCentre())) {
+            FleetProtos.Items part = message.toBuilder()
+                    .clearForwardTo()
+                    .addAllForwardTo(branch.forwardTo())
+                    .build();
+            peers.send(branch.name(), COMPRESSED_ITEMS, part.toByteArray());
+        }
+    }
+
     private CollectorPlan plan() {
         return CollectorPlan.of(peers.self(), peers.view());
     }
@@ -151,42 +275,56 @@
         return peers.view().stream().anyMatch(member -> member.name().equals(peer) && !isLocal(member));
     }
 
-    private static FleetProtos.Items.Builder encode(List<PublishedItem> items, StorePosition position) {
-        FleetProtos.Items.Builder message =
-                FleetProtos.Items.newBuilder().setRevision(position.revision()).setEra(position.era());
-        for (PublishedItem item : items) {
-            message.addItems(FleetProtos.Item.newBuilder()
-                    .setKey(item.key())
-                    .setValue(ByteString.copyFrom(item.value()))
-                    .setRevision(item.revision())
-                    .setDeleted(item.deleted()));
-        }
-        return message;
-    }
-
     private void receive(String peer, byte[] body) {
         FleetProtos.Items message;
+        List<PublishedItem> items;
         try {
             message = FleetProtos.Items.parseFrom(body);
+            items = ItemsCodec.items(message);
         } catch (InvalidProtocolBufferException e) {
-            LOG.warn("items sent by a peer can't be read, the message is ignored", e);
+            rejectMessage(peer, e);
             return;
         }
-        List<PublishedItem> items = message.getItemsList().stream()
-                .map(item -> new PublishedItem(
-                        item.getKey(), item.getValue().toByteArray(), item.getRevision(), item.getDeleted()))
-                .toList();
         publications.holdDeletions(message.getHoldMillis());
         StorePosition position = new StorePosition(message.getEra(), message.getRevision());
+        boolean isNew = position.isAfter(publications.position());
         if (message.hasAfter()) {
-            boolean ahead = position.isAfter(publications.position());
             StorePosition after = new StorePosition(message.getAfterEra(), message.getAfter());
-            boolean hasNewChanges = publications.applyRelayedChanges(items, after, position);
-            if ((hasNewChanges || ahead) && isRemote(peer) && plan().isRelay()) {
-                sendWithinDataCentre(body);
-            }
+            isNew = publications.applyRelayedChanges(items, after, position) || isNew;
         } else {
             publications.applySnapshot(items, position);
         }
+        if (isNew) {
+            forward(peer, message, body);
+        }
+    }
+
+    /**
+     * Forwards changes that were new here. Those that a peer had already sent are not forwarded again, because that peer
+     * has sent them to all others as well.
+     */
+    private void forward(String peer, FleetProtos.Items message, byte[] body) {
+        if (message.getForwardToCount() > 0) {
+            Set<String> names = Set.copyOf(message.getForwardToList());
+            forwardedMessages.inc();
+            sendAlongTree(
+                    message,
+                    otherMembers().stream()
+                            .filter(member -> names.contains(member.name()))
+                            .toList());
+        } else if (message.hasAfter() && message.getCompressedItems().isEmpty() && isRemote(peer) && plan().isRelay()) {
+            sendWithinDataCentre(body);
+        }
+    }
+
+    /** Ignores a message. This process then lags behind its peers, and requests the changes. */
+    private void rejectMessage(String peer, InvalidProtocolBufferException error) {
+        invalidMessages.inc();
+        if (loop.nowNanos() - nextInvalidLogNanos >= 0) {
+            nextInvalidLogNanos = loop.nowNanos() + LOG_INTERVAL_NANOS;
+            LOG.warnf(
+                    "items sent by a peer can't be read, the message of %s is ignored and the items are requested: %s",
+                    peer, error.getMessage());
+        }
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
@@ -42,7 +43,8 @@
     private GatewayLoop loop;
     private long holdEndNanos;
     private boolean initialLoadComplete;
-    private ReadListener readListener = (changes, after, upTo) -> {};
+    private ReadListener readListener = (changes, after, upTo, hasNew) -> {};
+    private Runnable snapshotListener = () -> {};
 
     /** Listener for changes that this process has read from the store itself. */
     @FunctionalInterface
@@ -53,8 +55,9 @@
          * @param changes the changed items
          * @param after position that the changes directly follow
          * @param upTo position up to which the changes are complete
+         * @param hasNew whether any of the changes was new to this process
          */
-        void onRead(List<PublishedItem> changes, StorePosition after, StorePosition upTo);
+        void onRead(List<PublishedItem> changes, StorePosition after, StorePosition upTo, boolean hasNew);
     }
 
     /**
@@ -109,6 +112,16 @@
         return items.live();
     }
 
+    /**
+     * Returns the changes after a position, for a peer that has missed some.
+     *
+     * @param after position of the peer
+     * @return the changes up to {@link #position}; empty if they are not known, so that the peer needs {@link #live}
+     */
+    public Optional<List<PublishedItem>> changesAfter(StorePosition after) {
+        return items.changesAfter(after);
+    }
+
     /**
      * Returns the election that decides whether this process polls the store or relies on peers.
      *
@@ -127,6 +140,15 @@
         readListener = listener;
     }
 
+    /**
+     * Sets the listener for snapshots that this process has read from the store after it had missed changes.
+     *
+     * @param listener called on the gateway's event loop, must not block; replaces an earlier listener
+     */
+    public void setSnapshotListener(Runnable listener) {
+        snapshotListener = listener;
+    }
+
     /** Records that the store has responded after an outage, and delays deletions of leases from now on. */
     public void recordStoreRecovery() {
         holdDeletions(DELETION_HOLD_MILLIS);
@@ -161,9 +183,10 @@
      * @param upTo position up to which the changes are complete
      */
     public void applyStoreChanges(List<PublishedItem> changes, StorePosition after, StorePosition upTo) {
-        apply(items.merge(changes, after, upTo));
+        List<ItemChange> newChanges = items.merge(changes, after, upTo);
+        apply(newChanges);
         if (!changes.isEmpty()) {
-            readListener.onRead(changes, after, upTo);
+            readListener.onRead(changes, after, upTo, !newChanges.isEmpty());
         }
     }
 
@@ -183,6 +206,8 @@
 
     /**
      * Applies a snapshot that this process has read from the store, and passes the differences to the read listener.
+     * Within an era, the snapshot listener is called instead: the differences lack the deletion of items that were
+     * written and deleted after the last read, which a peer may know.
      *
      * @param snapshot all existing items
      * @param at position of the snapshot
@@ -194,8 +219,10 @@
             recordStoreRecovery();
         }
         List<PublishedItem> changes = applySnapshot(snapshot, at);
-        if (hasSnapshot && !changes.isEmpty()) {
-            readListener.onRead(changes, before, at);
+        if (hasSnapshot && !changes.isEmpty() && at.era() == before.era()) {
+            snapshotListener.run();
+        } else if (hasSnapshot && !changes.isEmpty()) {
+            readListener.onRead(changes, before, at, true);
         }
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/PublishedItems.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/PublishedItems.java
@@ -24,6 +24,10 @@
     private final Map<String, Long> revisionsBeforeDeletion = new HashMap<>();
 
     private StorePosition position = StorePosition.NONE;
+
+    /** Revision after which all deletions are known, those of items that were never known here included. */
+    private long historyStart;
+
     private int tombstoneCount;
 
     /**
@@ -47,10 +51,12 @@
      */
     public List<ItemChange> merge(List<PublishedItem> changes, StorePosition after, StorePosition upTo) {
         if (upTo.era() != position.era()) {
-            return upTo.isAfter(position) && after.equals(position) ? enterEra(changes, upTo) : List.of();
+            boolean isNext = upTo.isAfter(position) && after.equals(position);
+            return isNext && !knowsItemsBeyondPosition() ? enterEra(changes, upTo) : List.of();
         }
         List<ItemChange> applied = applyNewer(changes);
-        if (!after.isAfter(position) && upTo.isAfter(position)) {
+        // Changes from an earlier era lack what was written and deleted between the eras' beginning and this position.
+        if (after.era() == position.era() && !after.isAfter(position) && upTo.isAfter(position)) {
             position = upTo;
         }
         return applied;
@@ -83,6 +89,7 @@
             return enterEra(changes, at);
         }
         position = at;
+        historyStart = at.revision();
         return applyNewer(changes);
     }
 
@@ -95,6 +102,22 @@
         return items.values().stream().filter(item -> !item.deleted()).toList();
     }
 
+    /**
+     * Returns the changes after a position, deletions included, for a process that has missed some.
+     *
+     * @param after position of that process
+     * @return the changes up to {@link #position}; empty if it is in another era, or if deletions after it may be
+     *     unknown here
+     */
+    public Optional<List<PublishedItem>> changesAfter(StorePosition after) {
+        if (after.era() != position.era() || after.revision() < historyStart) {
+            return Optional.empty();
+        }
+        return Optional.of(items.values().stream()
+                .filter(item -> item.revision() > after.revision())
+                .toList());
+    }
+
     /**
      * Finds an existing item.
      *
@@ -105,6 +128,11 @@
         return Optional.ofNullable(items.get(key)).filter(item -> !item.deleted());
     }
 
+    /** Such items may be missing in the next era, which only a snapshot shows, but not the changes since the position. */
+    private boolean knowsItemsBeyondPosition() {
+        return items.values().stream().anyMatch(item -> item.revision() > position.revision());
+    }
+
     private List<ItemChange> applyNewer(List<PublishedItem> changes) {
         List<ItemChange> applied = new ArrayList<>();
         for (PublishedItem change : changes) {
@@ -132,6 +160,7 @@
         changes.forEach(change -> items.put(change.key(), change));
         tombstoneCount = (int) changes.stream().filter(PublishedItem::deleted).count();
         position = at;
+        historyStart = at.revision();
         return applied;
     }
 
@@ -183,6 +212,7 @@
                 .sorted()
                 .toArray();
         long medianRevision = revisions[revisions.length / 2];
+        historyStart = Math.max(historyStart, medianRevision);
         items.values().removeIf(item -> item.deleted() && item.revision() <= medianRevision);
         revisionsBeforeDeletion.keySet().retainAll(items.keySet());
         tombstoneCount =
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/PublishedItemsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/PublishedItemsTest.java
@@ -56,6 +56,18 @@
         assertThat(items.position().revision()).isEqualTo(9);
     }
 
+    // Guards against a peer that keeps a deleted worker: it may be deleted before this process has ever known it.
+    @Test
+    void changesAreNotGivenIfDeletionsAmongThemMayBeUnknown() {
+        mergeSnapshot(List.of(item("a", 3), item("b", 4)), 5);
+        merge(items, List.of(new PublishedItem("a", new byte[0], 6, true), item("c", 7)), 5, 7);
+        assertThat(items.changesAfter(new StorePosition(0, 4))).isEmpty();
+        assertThat(items.changesAfter(new StorePosition(1, 5))).isEmpty();
+        assertThat(items.changesAfter(new StorePosition(0, 6)).orElseThrow()).containsExactly(item("c", 7));
+        assertThat(items.changesAfter(new StorePosition(0, 5)).orElseThrow())
+                .containsExactlyInAnyOrder(new PublishedItem("a", new byte[0], 6, true), item("c", 7));
+    }
+
     @Property(tries = 300, seed = "7")
     void noItemReturnsToAnOlderRevision(@ForAll @Size(max = 60) List<@IntRange(min = 1, max = 400) Integer> changes) {
         PublishedItems merged = new PublishedItems();
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/StoreErasTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/published/StoreErasTest.java
@@ -81,6 +81,48 @@
         assertThat(values(peer)).isEqualTo(store.values());
     }
 
+    // Two processes read the store now and then; the third one loses messages and requests the changes that it has
+    // missed. Guards against deletions that are left out because the process that is asked, or the one that has read
+    // the
+    // store whole, did not know the item.
+    @Property(seed = "20261204", tries = 500)
+    void aProcessThatRequestsOnlyMissedChangesEndsWithTheItemsOfTheStore(@ForAll long seed) {
+        Random random = new Random(seed);
+        Store store = new Store();
+        PublishedItems[] followers = {new PublishedItems(), new PublishedItems()};
+        PublishedItems peer = new PublishedItems();
+        for (int step = 0; step < 80; step++) {
+            store.performRandomAction(random);
+            PublishedItems follower = followers[random.nextInt(2)];
+            if (random.nextInt(3) == 0) {
+                StorePosition before = follower.position();
+                boolean whole = random.nextInt(5) == 0;
+                List<ItemChange> changes = whole ? store.readAll(follower) : store.read(follower);
+                boolean relayed = before.revision() > 0 && random.nextInt(3) == 0;
+                if (relayed && whole && before.era() == follower.position().era()) {
+                    peer.mergeSnapshot(follower.live(), follower.position());
+                } else if (relayed) {
+                    peer.merge(changes.stream().map(ItemChange::item).toList(), before, follower.position());
+                }
+            }
+            if (random.nextInt(5) == 0) {
+                requestChanges(peer, follower);
+            }
+        }
+        store.read(followers[0]);
+        requestChanges(peer, followers[0]);
+        assertThat(values(peer)).isEqualTo(store.values());
+    }
+
+    private static void requestChanges(PublishedItems peer, PublishedItems from) {
+        if (from.position().isAfter(peer.position())) {
+            from.changesAfter(peer.position())
+                    .ifPresentOrElse(
+                            changes -> peer.merge(changes, peer.position(), from.position()),
+                            () -> peer.mergeSnapshot(from.live(), from.position()));
+        }
+    }
+
     /** A store with its history and a backup. */
     private static final class Store {
         private final List<PublishedItem> history = new ArrayList<>();
@@ -113,6 +155,10 @@
                 List<PublishedItem> changes = List.copyOf(history.subList((int) current.revision(), history.size()));
                 return follower.merge(changes, current, position());
             }
+            return readAll(follower);
+        }
+
+        List<ItemChange> readAll(PublishedItems follower) {
             return follower.mergeSnapshot(List.copyOf(liveItems().values()), position());
         }
 
