--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RouteIndex.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RouteIndex.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.routing;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -16,12 +17,25 @@
 
     /** The prefixes that begin with the same whole segments. */
     private static final class Node {
-        private final Map<String, Node> children = new HashMap<>();
+        /** Empty maps are shared, because most prefixes have no longer ones. */
+        private Map<String, Node> children = Map.of();
 
-        /** Routes whose prefix ends within the next segment, by the length of that part and the part; mostly empty. */
-        private final NavigableMap<Integer, Map<String, Route>> partsByLength = new TreeMap<>();
+        /** Routes whose prefix ends within the next segment, by the length of that part and the part. */
+        private NavigableMap<Integer, Map<String, Route>> partsByLength = Collections.emptyNavigableMap();
 
         private Route route;
+
+        Node child(String segment) {
+            children = children.isEmpty() ? new HashMap<>() : children;
+            return children.computeIfAbsent(segment, key -> new Node());
+        }
+
+        void addPart(String part, Route added) {
+            partsByLength = partsByLength.isEmpty() ? new TreeMap<>() : partsByLength;
+            partsByLength
+                    .computeIfAbsent(part.length(), length -> new HashMap<>())
+                    .putIfAbsent(part, added);
+        }
     }
 
     /**
@@ -34,15 +48,13 @@
         String prefix = route.pathPrefix();
         int start = 0;
         for (int end = prefix.indexOf('/') + 1; end > 0; end = prefix.indexOf('/', start) + 1) {
-            node = node.children.computeIfAbsent(prefix.substring(start, end), segment -> new Node());
+            node = node.child(prefix.substring(start, end));
             start = end;
         }
         if (start == prefix.length()) {
             node.route = node.route == null ? route : node.route;
         } else {
-            node.partsByLength
-                    .computeIfAbsent(prefix.length() - start, length -> new HashMap<>())
-                    .putIfAbsent(prefix.substring(start), route);
+            node.addPart(prefix.substring(start), route);
         }
     }
 
@@ -69,6 +81,9 @@
     }
 
     private static Route findByPart(Node node, String path, int start) {
+        if (node.partsByLength.isEmpty()) {
+            return null;
+        }
         for (Map.Entry<Integer, Map<String, Route>> parts :
                 node.partsByLength.descendingMap().entrySet()) {
             int end = start + parts.getKey();
