Costs of engines by their speed, and classes of interactive streams by their neighbours

Cause: 449 to 482 of 1,628 short answers of a deployment are late by gaps, because summaries with prompts of 9,190 tokens count as gap-sensitive as well (66.7 ms a token, threshold 73 ms) and are read beside them, and because all engines have the same costs although they differ in speed by a factor of 2.4.

Change: EngineSelector multiplies the costs of the work by the slowness of an engine and partitions by capacity. The cost of a prompt beside interactive streams grows with the excess of their gap over the target on that engine. GapClassifier takes a stream for gap-sensitive only if its prompt can be read beside the streams with a shorter gap target; those with the shortest target always remain gap-sensitive. The learned time of a mixed step raises the threshold of 73 ms if it is at least 1.25 times that.

Ruled out: lowering the threshold to the measured mean.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -24,6 +24,7 @@
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.EngineModel;
 import org.dotterelcourse.policy.selection.EnginePartition;
+import org.dotterelcourse.policy.selection.GapClassifier;
 
 /**
  * The gateway's view of the platform and the fleet: the active routing table, the workers, the retry budgets, and the
@@ -38,6 +39,7 @@
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, EnginePartition> enginePartitions = new HashMap<>();
     private final Map<String, EngineModel> engineModels = new HashMap<>();
+    private final Map<String, GapClassifier> gapClassifiers = new HashMap<>();
     private final RequestQuarantine quarantine = new RequestQuarantine();
     private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
     private final WorkerTimings timings = new WorkerTimings(workers);
@@ -219,6 +221,16 @@
         return engineModels.computeIfAbsent(upstream, name -> new EngineModel());
     }
 
+    /**
+     * Returns what determines the latency classes of the streams of an upstream.
+     *
+     * @param upstream name of the upstream
+     * @return its classifier, created on first use
+     */
+    public GapClassifier gapClassifier(String upstream) {
+        return gapClassifiers.computeIfAbsent(upstream, name -> new GapClassifier());
+    }
+
     /**
      * Returns which parts of prompts are probably cached at which workers.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -15,7 +15,7 @@
 public final class Call {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    private final Attributes attributes;
+    private Attributes attributes;
     private final HttpMethod method;
     private final String uri;
     private final HttpHeaders headers;
@@ -79,12 +79,25 @@
     /**
      * Returns the properties determined at admission.
      *
-     * @return the attributes, which do not change
+     * @return the attributes, of which only the latency class of the prompt may change before the first attempt
      */
     public Attributes attributes() {
         return attributes;
     }
 
+    /** Replaces the prompt by one of another latency class, before the first attempt. */
+    void replacePrompt(Prompt prompt) {
+        attributes = new Attributes(
+                attributes.id(),
+                attributes.route(),
+                attributes.upstream(),
+                attributes.customer(),
+                attributes.priority(),
+                Optional.of(prompt),
+                attributes.arrivalNanos(),
+                attributes.deadlineNanos());
+    }
+
     HttpMethod method() {
         return method;
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
@@ -7,12 +7,14 @@
 import java.util.random.RandomGenerator;
 
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.routing.Route;
 import org.dotterelcourse.gateway.workers.Placement;
 import org.dotterelcourse.gateway.workers.WorkerState;
 import org.dotterelcourse.gateway.workers.Workers;
 import org.dotterelcourse.policy.selection.EngineModel;
 import org.dotterelcourse.policy.selection.EnginePartition;
 import org.dotterelcourse.policy.selection.EngineSelector;
+import org.dotterelcourse.policy.selection.GapClassifier;
 import org.dotterelcourse.policy.selection.LatencyClass;
 import org.dotterelcourse.policy.selection.LeastLoadedSelector;
 import org.dotterelcourse.policy.selection.Prompt;
@@ -59,9 +61,32 @@
         record NoWorker() implements Outcome {}
     }
 
-    /** Records the call's work in the partition of its upstream's engines. */
+    /** Determines the latency class of the call's stream and records its work in the partition of its upstream. */
     void recordArrival(Call call, long nowNanos) {
-        call.attributes().prompt().ifPresent(prompt -> partition(call).recordArrival(prompt, nowNanos));
+        call.attributes().prompt().ifPresent(prompt -> {
+            Prompt classified = classified(call, prompt, nowNanos);
+            partition(call).recordArrival(classified, nowNanos);
+        });
+    }
+
+    private Prompt classified(Call call, Prompt prompt, long nowNanos) {
+        String upstream = call.attributes().upstream().name();
+        Route route = call.attributes().route();
+        GapClassifier classifier = state.gapClassifier(upstream);
+        classifier.updateMixedStep(state.timings().estimate(upstream).mixedStepMillis());
+        LatencyClass latencyClass = classifier.classify(
+                new GapClassifier.Stream(
+                        route.gapTargetMillis(),
+                        route.targetMillis(),
+                        call.attributes().upstream().tokensPerEvent(),
+                        prompt.prefillMillis(0)),
+                nowNanos);
+        if (latencyClass == prompt.latencyClass()) {
+            return prompt;
+        }
+        Prompt classified = prompt.withLatencyClass(latencyClass);
+        call.replacePrompt(classified);
+        return classified;
     }
 
     /** Returns the time in milliseconds within which a response of typical length should complete on the call's route. */
@@ -108,6 +133,7 @@
                 state.cachedPrefixes(),
                 partition(call),
                 attributes.upstream().transfer(),
+                state.gapClassifier(attributes.upstream().name()).gapCost(),
                 random);
         SelectionResult result = selector.choose(prompt.get(), candidates, maxStreams, nowNanos);
         if (result instanceof SelectionResult.Selected selected) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/PeerTimings.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/PeerTimings.java
@@ -20,6 +20,8 @@
     private static final String ANY_COLLECTOR = "";
 
     private final Map<String, Source> sources = new HashMap<>();
+    private Map<Integer, TimingSums> total;
+    private long totalNanos;
 
     private record Row(TimingSums sums, long atNanos) {
         TimingSums at(long nowNanos) {
@@ -31,6 +33,7 @@
 
     /** Records the rows of a report, which replace those of the same workers in earlier reports of the peer. */
     void recordReport(String peer, PeerLoads.Scope scope, Map<Integer, TimingSums> rows, long nowNanos) {
+        total = null;
         String name = scope == PeerLoads.Scope.OTHERS ? ANY_COLLECTOR : peer;
         Source source = sources.get(name);
         if (source == null || source.scope() != scope) {
@@ -44,6 +47,7 @@
 
     /** Removes the rows of workers that have ended, and expired ones. */
     void removeObsolete(Predicate<Integer> isCurrent, long nowNanos) {
+        total = null;
         for (Iterator<Source> each = sources.values().iterator(); each.hasNext(); ) {
             Map<Integer, Row> rows = each.next().rows();
             rows.entrySet()
@@ -57,26 +61,36 @@
 
     /** Sums the rows of all peers except one. */
     Map<Integer, TimingSums> totalExcluding(String peer, long nowNanos) {
-        return sum(peer, false, nowNanos);
+        Map<Integer, TimingSums> sums = total(nowNanos);
+        Source excluded = sources.get(peer);
+        if (excluded != null) {
+            excluded.rows()
+                    .forEach((worker, row) -> sums.computeIfPresent(worker, (id, sum) -> sum.minus(row.at(nowNanos))));
+        }
+        return sums;
     }
 
     /** Sums the rows that peers sent for themselves alone. */
     Map<Integer, TimingSums> totalOfReporters(long nowNanos) {
-        return sum(ANY_COLLECTOR, true, nowNanos);
+        return sum(true, nowNanos);
     }
 
-    /** Sums the rows of all peers. */
+    /** Sums the rows of all peers. Computed once for all reports of one time. */
     Map<Integer, TimingSums> total(long nowNanos) {
-        return sum(null, false, nowNanos);
+        if (total == null || nowNanos != totalNanos) {
+            total = sum(false, nowNanos);
+            totalNanos = nowNanos;
+        }
+        return new HashMap<>(total);
     }
 
-    private Map<Integer, TimingSums> sum(String excluded, boolean ownOnly, long nowNanos) {
+    private Map<Integer, TimingSums> sum(boolean ownOnly, long nowNanos) {
         Map<Integer, TimingSums> sums = new HashMap<>();
-        sources.forEach((name, source) -> {
-            if (!name.equals(excluded) && (!ownOnly || source.scope() == PeerLoads.Scope.OWN)) {
+        for (Source source : sources.values()) {
+            if (!ownOnly || source.scope() == PeerLoads.Scope.OWN) {
                 source.rows().forEach((worker, row) -> sums.merge(worker, row.at(nowNanos), TimingSums::plus));
             }
-        });
+        }
         return sums;
     }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/performance/TimingSums.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/performance/TimingSums.java
@@ -37,6 +37,22 @@
                 expectedMillis + other.expectedMillis);
     }
 
+    /**
+     * Subtracts sums that are contained in these.
+     *
+     * @param part the sums to subtract
+     * @return the remainder, without negative values
+     */
+    public TimingSums minus(TimingSums part) {
+        return new TimingSums(
+                Math.max(0, stepMillis - part.stepMillis),
+                Math.max(0, stepTokens - part.stepTokens),
+                Math.max(0, mixedStepMillis - part.mixedStepMillis),
+                Math.max(0, mixedStepTokens - part.mixedStepTokens),
+                Math.max(0, measuredMillis - part.measuredMillis),
+                Math.max(0, expectedMillis - part.expectedMillis));
+    }
+
     /**
      * Multiplies all sums, which keeps the means.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -16,6 +16,8 @@
  * therefore partitioned between the latency classes by the ranks of their addresses ({@link EnginePartition}). Requests of
  * a fully loaded partition spill over to other partitions, at a penalty.
  *
+ * <p>Costs are those of an engine of nominal speed, multiplied by the engine's slowness; the partition goes by capacity.
+ *
  * <p>It also handles prompts with shared parts, which are half of the prefill work of the workloads in use. A prompt goes
  * to an engine that has its parts in its cache, as far as the processes have reported to each other, unless the queue there
  * takes much longer than reading the parts. Each part has a few preferred engines in its partition, which all processes
@@ -100,8 +102,27 @@
     private final CachedPrefixes prefixes;
     private final EnginePartition partition;
     private final TransferCost transferCost;
+    private final GapCost gapCost;
     private final RandomGenerator random;
 
+    /**
+     * Creates a selector for which the delay of interactive streams does not depend on their gap target.
+     *
+     * @param dataCentre data centre of this process
+     * @param prefixes prompt parts that the engines probably have in their caches
+     * @param partition partition of the engines between the latency classes
+     * @param transferCost cost of fetching cached parts from another engine
+     * @param random source of randomness for breaking ties
+     */
+    public EngineSelector(
+            String dataCentre,
+            CachedPrefixes prefixes,
+            EnginePartition partition,
+            TransferCost transferCost,
+            RandomGenerator random) {
+        this(dataCentre, prefixes, partition, transferCost, GapCost.NONE, random);
+    }
+
     /**
      * Creates a selector.
      *
@@ -109,6 +130,7 @@
      * @param prefixes prompt parts that the engines probably have in their caches
      * @param partition partition of the engines between the latency classes
      * @param transferCost cost of fetching cached parts from another engine
+     * @param gapCost weight of the delay of interactive streams by prompts that are read beside them
      * @param random source of randomness for breaking ties
      */
     public EngineSelector(
@@ -116,11 +138,13 @@
             CachedPrefixes prefixes,
             EnginePartition partition,
             TransferCost transferCost,
+            GapCost gapCost,
             RandomGenerator random) {
         this.dataCentre = dataCentre;
         this.prefixes = prefixes;
         this.partition = partition;
         this.transferCost = transferCost;
+        this.gapCost = gapCost;
         this.random = random;
     }
 
@@ -149,7 +173,10 @@
         }
         List<WorkerLoad> ranked = WorkerRanking.ranked(workers);
         boolean anyHealthy = isAnyHealthy(ranked);
-        EnginePartition.Range range = partition.range(prompt.latencyClass(), ranked.size());
+        EnginePartition.Range range = partition.range(
+                prompt.latencyClass(),
+                ranked.size(),
+                rank -> ranked.get(rank).performance().capacity());
         // Ranks and partition must not depend on suspicions. Processes suspect different engines at different times, so
         // they would then disagree on the preferred engines of every part.
         int[] preferred = preferredRanks(prompt, ranked, range, anyHealthy);
@@ -166,11 +193,12 @@
                 continue;
             }
             int local = cached.cachedTokens(worker.incarnation());
-            boolean fetches = isFetchFaster(prompt, local, source.tokens());
+            double slowness = worker.performance().slowness();
+            boolean fetches = isFetchFaster(prompt, local, source.tokens(), slowness);
             int tokens = fetches ? source.tokens() : local;
-            double cost = costs.load(worker, tokens)
+            double cost = costs.load(worker, tokens, slowness)
                     + costs.fetch(tokens - local)
-                    + costs.reread(tokens, preference(preferred, i))
+                    + costs.reread(tokens, preference(preferred, i), slowness)
                     + (range.contains(i) ? 0 : costs.otherPartition(tokens));
             if (cost < minCost) {
                 minCost = cost;
@@ -220,14 +248,14 @@
         return longest == null ? Source.NONE : new Source(longest.id(), maxTokens);
     }
 
-    private boolean isFetchFaster(Prompt prompt, int local, int fetchable) {
+    private boolean isFetchFaster(Prompt prompt, int local, int fetchable, double slowness) {
         return fetchable > local
                 && transferCost.millis(fetchable - local)
-                        < prompt.prefillMillis(local) - prompt.prefillMillis(fetchable);
+                        < slowness * (prompt.prefillMillis(local) - prompt.prefillMillis(fetchable));
     }
 
     private static boolean hasCapacity(WorkerLoad worker, int maxStreams) {
-        return maxStreams == Integer.MAX_VALUE || worker.inFlight() < Math.min(maxStreams, Math.max(1, worker.slots()));
+        return maxStreams == Integer.MAX_VALUE || worker.inFlight() < worker.streamLimit(maxStreams);
     }
 
     /** Costs of one prompt on the engines. What does not depend on the engine is determined once per prompt. */
@@ -251,7 +279,8 @@
             this.otherPartitionMillis = OTHER_PARTITION_MILLIS.get(latencyClass);
         }
 
-        double load(WorkerLoad worker, int cached) {
+        /** Cost of the work itself. All of it takes longer on a slow engine. */
+        double load(WorkerLoad worker, int cached, double slowness) {
             double prefill = prompt.prefillMillis(cached);
             double cost = worker.prefillMillis() + prefill + STREAM_MILLIS * worker.inFlight();
             if (worker.inFlight() >= worker.slots()) {
@@ -259,8 +288,9 @@
                         + NO_SLOT_MILLIS;
             }
             if (!gapSensitive) {
-                cost += prefill * worker.interactiveStreams();
+                cost += prefill * worker.interactiveStreams() * gapCost.weight(slowness);
             }
+            cost *= slowness;
             boolean local = worker.dataCentre().equals(dataCentre);
             return cost + (local ? 0 : REMOTE_MILLIS) + random.nextDouble() * NOISE_MILLIS;
         }
@@ -269,8 +299,8 @@
          * Cost of reading shared parts, in addition to the prefill time. Parts that no engine has cached cost nothing more
          * on a preferred engine than the step between preferred engines, since one engine has to read them.
          */
-        double reread(int cached, int preference) {
-            double millis = Math.max(0, sharedTokens - cached) / PREFILL_TOKENS_PER_MILLI;
+        double reread(int cached, int preference, double slowness) {
+            double millis = slowness * Math.max(0, sharedTokens - cached) / PREFILL_TOKENS_PER_MILLI;
             if (preference < 0) {
                 return NON_PREFERRED_FACTOR * rereadWeight * millis;
             }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/LatencyClass.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/LatencyClass.java
@@ -15,17 +15,18 @@
     DELAY_TOLERANT;
 
     /**
-     * Longest usual step with a chunk of a long prompt: 33 ms for 2,048 tokens at 62.4 tokens/ms, 30 ms for attention to a
+     * Prior of the longest usual step with a chunk of a long prompt: 33 ms for 2,048 tokens at 62.4 tokens/ms, 30 ms for attention to a
      * context of 30,000 tokens, and 10 ms for the step itself (data sheet). With a lower value, streams whose gap target is
      * shorter than such a step would share engines with long prompts, and each of these steps would make them late.
      */
-    private static final double LONG_STEP_MILLIS = 73;
+    static final double LONG_STEP_MILLIS = 73;
 
     /** The longest prompts, of about 50,000 tokens, take 0.85 s to read and 0.75 s for attention (data sheet). */
     private static final long LONG_PROMPT_MILLIS = 1_600;
 
     /**
-     * Classifies the streams of a route.
+     * Classifies the streams of a route by the prior of long steps, without regard to other streams. {@link GapClassifier}
+     * takes both into account.
      *
      * @param gapTargetMillis longest gap between events in milliseconds for which an answer is on time; 0 for no target
      * @param firstEventTargetMillis latency target of the first event in milliseconds
@@ -33,7 +34,13 @@
      * @return the latency class
      */
     public static LatencyClass of(long gapTargetMillis, long firstEventTargetMillis, int tokensPerEvent) {
-        if (gapTargetMillis > 0 && gapTargetMillis <= LONG_STEP_MILLIS * tokensPerEvent) {
+        return of(gapTargetMillis, firstEventTargetMillis, tokensPerEvent, LONG_STEP_MILLIS);
+    }
+
+    /** Classifies streams by the time of a step with a chunk of a long prompt on the engines of their upstream. */
+    static LatencyClass of(
+            long gapTargetMillis, long firstEventTargetMillis, int tokensPerEvent, double longStepMillis) {
+        if (gapTargetMillis > 0 && gapTargetMillis <= longStepMillis * tokensPerEvent) {
             return GAP_SENSITIVE;
         }
         return firstEventTargetMillis < LONG_PROMPT_MILLIS ? START_SENSITIVE : DELAY_TOLERANT;
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/Prompt.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/Prompt.java
@@ -39,6 +39,16 @@
         return tokens / EngineSelector.PREFILL_TOKENS_PER_MILLI + ATTENTION_MILLIS_PER_MILLION_PAIRS * pairs / MILLION;
     }
 
+    /**
+     * Returns this prompt with another latency class.
+     *
+     * @param other the class
+     * @return a prompt of the same parts
+     */
+    public Prompt withLatencyClass(LatencyClass other) {
+        return new Prompt(parts, promptTokens, outputTokens, other);
+    }
+
     /**
      * The last of the parts that other prompts may share.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
@@ -49,7 +49,7 @@
      * @return the limit for this worker
      */
     public int streamLimit(int limit) {
-        return Math.min(performance.scaledLimit(limit), slots);
+        return Math.min(performance.scaledLimit(limit), Math.max(1, slots));
     }
 
     /**
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
@@ -279,6 +279,51 @@
                 .isEmpty();
     }
 
+    // A prompt takes twice as long on a slow engine, and so do the prompts that are read before it.
+    @Test
+    void slowEnginesGetFewerPrompts() {
+        int slowSelected = 0;
+        for (int seed = 0; seed < 200; seed++) {
+            List<WorkerLoad> engines = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                WorkerLoad slow = withSlowness(load("slow-" + i, "10.0.0." + i + ":8000", 4, 0, false), 2);
+                engines.add(i % 2 == 0 ? slow : load("nominal-" + i, "10.0.0." + i + ":8000", 10, 100, false));
+            }
+            Prompt prompt = new Prompt(List.of(new Prompt.Part("own", 9_000)), 9_000, 100, LatencyClass.DELAY_TOLERANT);
+            String id = selector(seed, new CachedPrefixes())
+                    .select(prompt, engines, 1)
+                    .orElseThrow();
+            slowSelected += id.startsWith("slow") ? 1 : 0;
+        }
+        assertThat(slowSelected).isZero();
+    }
+
+    // The limit of streams holds for an engine of nominal speed.
+    @Test
+    void slowEnginesTakeFewerStreams() {
+        EngineSelector seeded = selector(1, new CachedPrefixes());
+        WorkerLoad slow = withSlowness(load("slow", "10.0.0.1:8000", 6, 0, false), 2);
+        assertThat(seeded.choose(prompt("a", LatencyClass.DELAY_TOLERANT), List.of(slow), 12, 1))
+                .isInstanceOf(SelectionResult.NoCapacity.class);
+        assertThat(seeded.choose(prompt("a", LatencyClass.DELAY_TOLERANT), List.of(slow), 14, 1))
+                .isInstanceOf(SelectionResult.Selected.class);
+    }
+
+    private static WorkerLoad withSlowness(WorkerLoad engine, double slowness) {
+        return new WorkerLoad(
+                engine.id(),
+                engine.incarnation(),
+                engine.address(),
+                engine.dataCentre(),
+                engine.slots(),
+                engine.inFlight(),
+                engine.interactiveStreams(),
+                engine.prefillMillis(),
+                engine.suspected(),
+                engine.sendPermission(),
+                new WorkerPerformance(slowness, 0, 0));
+    }
+
     private static List<WorkerLoad> denied(List<WorkerLoad> engines, String id) {
         return withPermission(engines, id, SendPermission.DENIED);
     }
