--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
@@ -22,6 +22,8 @@
  * @param repeatRatio the retry budget of an upstream, in retries per request
  * @param repeatExtra retries allowed across the whole fleet in each window in addition to {@code repeatRatio}
  * @param repeatWindow the length of the window over which retries are counted
+ * @param measuredSpeeds whether workers are selected by their measured speeds
+ * @param separateStreams whether interactive streams with long prompts are kept from those with shorter gap targets
  */
 public record GatewaySettings(
         String name,
@@ -38,7 +40,9 @@
         List<String> seeds,
         double repeatRatio,
         double repeatExtra,
-        Duration repeatWindow) {
+        Duration repeatWindow,
+        boolean measuredSpeeds,
+        boolean separateStreams) {
     /**
      * Creates a builder.
      *
@@ -65,6 +69,8 @@
         private double repeatRatio;
         private double repeatExtra;
         private Duration repeatWindow;
+        private boolean measuredSpeeds = true;
+        private boolean separateStreams = true;
 
         private Builder() {}
 
@@ -233,6 +239,28 @@
             return this;
         }
 
+        /**
+         * Sets whether workers are selected by their measured speeds; true by default.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder measuredSpeeds(boolean value) {
+            measuredSpeeds = value;
+            return this;
+        }
+
+        /**
+         * Sets whether interactive streams with long prompts are kept from those with shorter gap targets; true by default.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder separateStreams(boolean value) {
+            separateStreams = value;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
@@ -254,7 +282,9 @@
                     seeds,
                     repeatRatio,
                     repeatExtra,
-                    repeatWindow);
+                    repeatWindow,
+                    measuredSpeeds,
+                    separateStreams);
         }
     }
 }
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
@@ -12,6 +12,7 @@
     private static final String LISTEN = "listen";
     private static final String PLATFORM = "platform";
     private static final String REPEATS = "repeats";
+    private static final String SELECTION = "selection";
     private static final Map<String, List<String>> KEYS = keys();
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final ValueType<Double> SECONDS_TYPE = ValueType.decimal(0.001, 86_400);
@@ -36,6 +37,7 @@
         SectionReader listen = sections.section(LISTEN);
         SectionReader platform = sections.section(PLATFORM);
         SectionReader repeats = sections.section(REPEATS);
+        SectionReader selection = sections.section(SELECTION);
         GatewaySettings settings = GatewaySettings.builder()
                 .name(daemon.required("name", ValueType.NAME))
                 .dataCentre(daemon.required("data-centre", ValueType.NAME))
@@ -55,6 +57,8 @@
                 .repeatRatio(repeats.required("ratio", COUNT_TYPE))
                 .repeatExtra(repeats.required("extra", COUNT_TYPE))
                 .repeatWindow(seconds(repeats.required("window-seconds", SECONDS_TYPE)))
+                .measuredSpeeds(selection.optional("measured-speeds", ValueType.BOOLEAN, true))
+                .separateStreams(selection.optional("separate-streams", ValueType.BOOLEAN, true))
                 .build();
         return findings.isEmpty() ? new Checked.Valid<>(settings) : findings.toInvalid(List.copyOf(KEYS.keySet()));
     }
@@ -80,6 +84,7 @@
                         "evacuation-milliseconds",
                         "seeds"));
         keys.put(REPEATS, List.of("ratio", "extra", "window-seconds"));
+        keys.put(SELECTION, List.of("measured-speeds", "separate-streams"));
         return keys;
     }
 }
--- a/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
+++ b/dotterelcourse-configuration/src/test/java/org/dotterelcourse/configuration/GatewaySettingsReaderTest.java
@@ -46,6 +46,22 @@
         });
     }
 
+    // Settings files written before this section was introduced must select workers by their speeds as well.
+    @Test
+    void measuredSpeedsAndSeparateStreamsAreOnUnlessSetOtherwise() {
+        assertThat(reader.read("f", VALID)).isInstanceOfSatisfying(Checked.Valid.class, valid -> {
+            assertThat(((GatewaySettings) valid.value()).measuredSpeeds()).isTrue();
+            assertThat(((GatewaySettings) valid.value()).separateStreams()).isTrue();
+        });
+        String off = VALID + "[selection]\nmeasured-speeds = false\nseparate-streams = false\n";
+        assertThat(reader.read("f", off)).isInstanceOfSatisfying(Checked.Valid.class, valid -> {
+            assertThat(((GatewaySettings) valid.value()).measuredSpeeds()).isFalse();
+            assertThat(((GatewaySettings) valid.value()).separateStreams()).isFalse();
+        });
+        String invalid = VALID + "[selection]\nmeasured-speeds = perhaps\n";
+        assertThat(reader.read("f", invalid)).isInstanceOf(Checked.Invalid.class);
+    }
+
     // Evacuations may require a shorter time than configurations. A deployment without evacuations sets no time for
     // them.
     @Test
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
@@ -31,6 +31,8 @@
         LIMIT,
         /** The time for which a worker has asked this process to send it nothing. */
         BACKOFF,
+        /** The measured speed of a worker relative to the others of its upstream. */
+        PERFORMANCE,
         /** The shutdown of this process. */
         DRAINING,
         /** An order sent to an engine. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -47,6 +47,7 @@
     private AuditTrail audit;
     private volatile RoutingTable table;
     private volatile boolean workersLoaded;
+    private boolean separateStreams = true;
     private int maxProcesses = 1;
     private int reachableProcesses = 1;
 
@@ -221,6 +222,27 @@
         return engineModels.computeIfAbsent(upstream, name -> new EngineModel());
     }
 
+    /**
+     * Sets whether interactive streams with long prompts are kept from those with shorter gap targets. Must be called before
+     * the first request.
+     *
+     * @param value false to classify streams by their targets alone; the default is true
+     */
+    public void setSeparateStreams(boolean value) {
+        separateStreams = value;
+    }
+
+    /**
+     * Updates the speeds of the workers from the measured durations, if an update is due.
+     *
+     * @param nowNanos current monotonic time in nanoseconds
+     */
+    public void updateTimings(long nowNanos) {
+        for (WorkerTimings.SpeedChange change : timings.updateIfDue(nowNanos)) {
+            audit.add(AuditEvent.Kind.PERFORMANCE, change.worker(), "measured", change.before(), change.after());
+        }
+    }
+
     /**
      * Returns what determines the latency classes of the streams of an upstream.
      *
@@ -228,7 +250,7 @@
      * @return its classifier, created on first use
      */
     public GapClassifier gapClassifier(String upstream) {
-        return gapClassifiers.computeIfAbsent(upstream, name -> new GapClassifier());
+        return gapClassifiers.computeIfAbsent(upstream, name -> new GapClassifier(separateStreams));
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -174,7 +174,7 @@
             state.workers().limits().scheduleReminders();
         }
         state.updateFleetSize(others.size() + 1);
-        state.timings().updateIfDue(nowNanos);
+        state.updateTimings(nowNanos);
         notices = new Notices(
                 state.quarantine().takeNotices(nowNanos),
                 state.workers().limits().takeNotices(nowNanos));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/TimingExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/TimingExchange.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
@@ -40,6 +41,9 @@
 
     TimingExchange(GatewayState state, MetricRegistry metrics) {
         this.state = state;
+        metrics.gauge(
+                "gateway.performance.estimated-workers", () -> (Gauge<Integer>) state.timings()::estimatedWorkers);
+        metrics.gauge("gateway.performance.slow-workers", () -> (Gauge<Integer>) state.timings()::slowWorkers);
         this.implausible = metrics.counter("gateway.performance.implausible-rows");
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -19,6 +19,12 @@
  * gateway's event loop only.
  */
 public final class WorkerState {
+    /** Slowness from which on a worker is reported as slow. It influences decisions at lower values already. */
+    private static final double SLOW_BEGIN = 1.6;
+
+    /** Slowness below which it is no longer reported as slow. */
+    private static final double SLOW_END = 1.3;
+
     private final LocalSuspicion localSuspicion = new LocalSuspicion();
     private final RecentOutcomes outcomes = new RecentOutcomes();
     private final SharedSuspicion sharedSuspicion = new SharedSuspicion();
@@ -34,6 +40,7 @@
     private int suspectRequests;
     private double prefillMillis;
     private PeerLoads.Load peerLoad = PeerLoads.Load.NONE;
+    private boolean isSlow;
     private WorkerPerformance performance = WorkerPerformance.NOMINAL;
 
     /**
@@ -89,8 +96,18 @@
         peerLoad = load;
     }
 
-    void updatePerformance(WorkerPerformance updated) {
+    /** Updates the estimated speed, and returns whether the worker has become much slower or is no longer so. */
+    boolean updatePerformance(WorkerPerformance updated) {
         performance = updated;
+        boolean slow = updated.slowness() > (isSlow ? SLOW_END : SLOW_BEGIN);
+        boolean changed = slow != isSlow;
+        isSlow = slow;
+        return changed;
+    }
+
+    /** Returns whether the worker was much slower than the others of its upstream at the last update. */
+    boolean isSlow() {
+        return isSlow;
     }
 
     WorkerPerformance performance() {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerTimings.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerTimings.java
@@ -1,6 +1,9 @@
 package org.dotterelcourse.gateway.workers;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import org.dotterelcourse.policy.performance.PerformanceEstimator;
@@ -26,6 +29,17 @@
     private boolean enabled = true;
     private boolean updated;
     private long updatedNanos;
+    private volatile int estimatedWorkers;
+    private volatile int slowWorkers;
+
+    /**
+     * A worker that has become slow or is no longer so.
+     *
+     * @param worker id of the worker
+     * @param before state before the change
+     * @param after state after the change, with its slowness
+     */
+    public record SpeedChange(String worker, String before, String after) {}
 
     /**
      * Creates timings without measurements.
@@ -79,11 +93,11 @@
      * Updates the estimates of all workers if the last update is long enough ago.
      *
      * @param nowNanos current monotonic time in nanoseconds
-     * @return whether the estimates were updated
+     * @return the workers that have become slow or are no longer so
      */
-    public boolean updateIfDue(long nowNanos) {
+    public List<SpeedChange> updateIfDue(long nowNanos) {
         if (updated && nowNanos - updatedNanos < UPDATE_INTERVAL_NANOS) {
-            return false;
+            return List.of();
         }
         updated = true;
         updatedNanos = nowNanos;
@@ -97,14 +111,48 @@
         Map<String, PerformanceEstimator.Estimate> next = new HashMap<>();
         sumsByUpstream.forEach((upstream, sums) -> next.put(upstream, estimator.estimate(sums)));
         estimates = next;
-        if (enabled) {
-            workers.all()
-                    .forEach(worker ->
-                            worker.updatePerformance(estimate(worker.entry().upstream())
-                                    .workers()
-                                    .getOrDefault(worker.incarnation(), WorkerPerformance.NOMINAL)));
+        return enabled ? applyEstimates() : List.of();
+    }
+
+    private List<SpeedChange> applyEstimates() {
+        List<SpeedChange> changes = new ArrayList<>();
+        int slow = 0;
+        int estimated = 0;
+        for (WorkerState worker : workers.all()) {
+            WorkerPerformance performance =
+                    estimate(worker.entry().upstream()).workers().get(worker.incarnation());
+            estimated += performance == null ? 0 : 1;
+            WorkerPerformance next = performance == null ? WorkerPerformance.NOMINAL : performance;
+            if (worker.updatePerformance(next)) {
+                String after = String.format(Locale.ROOT, "%.1f times as slow as the mean", next.slowness());
+                changes.add(new SpeedChange(
+                        worker.entry().id(),
+                        worker.isSlow() ? "" : "slow",
+                        worker.isSlow() ? "slow, " + after : after));
+            }
+            slow += worker.isSlow() ? 1 : 0;
         }
-        return true;
+        estimatedWorkers = estimated;
+        slowWorkers = slow;
+        return changes;
+    }
+
+    /**
+     * Returns the number of workers with an estimate. May be called on any thread.
+     *
+     * @return number of workers as of the last update
+     */
+    public int estimatedWorkers() {
+        return estimatedWorkers;
+    }
+
+    /**
+     * Returns the number of workers that are much slower than the mean of their upstream. May be called on any thread.
+     *
+     * @return number of workers as of the last update
+     */
+    public int slowWorkers() {
+        return slowWorkers;
     }
 
     /**
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerTimingsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerTimingsTest.java
@@ -107,6 +107,22 @@
         assertThat(own.get(incarnation("w1")).responseRatio()).isCloseTo(1.5, within(1e-6));
     }
 
+    @Test
+    void aWorkerThatBecomesSlowIsReportedOnce() {
+        report("collector", PeerLoads.Scope.OTHERS, sums(25, 3_000), SECOND);
+        assertThat(timings.updateIfDue(SECOND)).singleElement().satisfies(change -> {
+            assertThat(change.worker()).isEqualTo("w0");
+            assertThat(change.after()).startsWith("slow, ");
+        });
+        assertThat(timings.updateIfDue(2 * SECOND)).isEmpty();
+        assertThat(timings.slowWorkers()).isEqualTo(1);
+        assertThat(timings.estimatedWorkers()).isEqualTo(4);
+        assertThat(timings.updateIfDue(30 * SECOND))
+                .singleElement()
+                .satisfies(change -> assertThat(change.before()).isEqualTo("slow"));
+        assertThat(timings.slowWorkers()).isZero();
+    }
+
     @Test
     void workersStayNominalWhileEstimatesAreDisabled() {
         timings.setEnabled(false);
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/GapClassifier.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/GapClassifier.java
@@ -42,6 +42,7 @@
 
     private static final double MAX_LONG_STEP_MILLIS = 2 * LatencyClass.LONG_STEP_MILLIS;
 
+    private final boolean separating;
     private final Map<Long, Streams> byGapTarget = new HashMap<>();
     private double longStepMillis = LatencyClass.LONG_STEP_MILLIS;
     private int tokensPerEvent = 1;
@@ -67,6 +68,15 @@
      */
     public record Stream(long gapTargetMillis, long firstEventTargetMillis, int tokensPerEvent, double prefillMillis) {}
 
+    /**
+     * Creates a classifier that has seen no streams.
+     *
+     * @param separating false to classify streams by their targets and the prior alone
+     */
+    public GapClassifier(boolean separating) {
+        this.separating = separating;
+    }
+
     /**
      * Updates the threshold of gap targets by the measured time of steps with a prompt. It is only raised above its prior,
      * for engines that read larger parts of prompts at a time: a measured mean below the prior may be due to short prompts,
@@ -75,7 +85,7 @@
      * @param mixedStepMillis mean time of such steps over all engines in milliseconds; 0 if unknown
      */
     public void updateMixedStep(double mixedStepMillis) {
-        boolean raised = mixedStepMillis > RAISE_FACTOR * longStepMillis;
+        boolean raised = separating && mixedStepMillis > RAISE_FACTOR * longStepMillis;
         boolean lowered = mixedStepMillis > 0 && mixedStepMillis < LOWER_FACTOR * longStepMillis;
         if (raised || lowered) {
             longStepMillis = Math.min(MAX_LONG_STEP_MILLIS, Math.max(LatencyClass.LONG_STEP_MILLIS, mixedStepMillis));
@@ -92,7 +102,7 @@
     public LatencyClass classify(Stream stream, long nowNanos) {
         LatencyClass byTargets = LatencyClass.of(
                 stream.gapTargetMillis(), stream.firstEventTargetMillis(), stream.tokensPerEvent(), longStepMillis);
-        if (byTargets != LatencyClass.GAP_SENSITIVE) {
+        if (!separating || byTargets != LatencyClass.GAP_SENSITIVE) {
             return byTargets;
         }
         tokensPerEvent = stream.tokensPerEvent();
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineFleetSimulation.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineFleetSimulation.java
@@ -40,7 +40,7 @@
     private final Random random;
     private final CachedPrefixes prefixes = new CachedPrefixes();
     private final EnginePartition partition = new EnginePartition();
-    private final GapClassifier classifier = new GapClassifier();
+    private final GapClassifier classifier = new GapClassifier(true);
     private final PerformanceEstimator estimator = new PerformanceEstimator();
     private final Map<String, Result> results = new HashMap<>();
     private Map<Integer, WorkerPerformance> estimates = Map.of();
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/GapClassifierTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/GapClassifierTest.java
@@ -10,7 +10,7 @@
     private static final GapClassifier.Stream SUMMARY = new GapClassifier.Stream(400, 1_219, 6, 170);
     private static final GapClassifier.Stream DRAFT = new GapClassifier.Stream(1_000, 2_027, 6, 340);
 
-    private final GapClassifier classifier = new GapClassifier();
+    private final GapClassifier classifier = new GapClassifier(true);
 
     // The prompts of both kinds would be read beside the streams with the shorter gap target, which would be late.
     @Test
@@ -95,6 +95,16 @@
         assertThat(GapCost.NONE.weight(3)).isEqualTo(1);
     }
 
+    @Test
+    void streamsAreClassifiedByTheirTargetsWhereTheSettingSaysSo() {
+        GapClassifier plain = new GapClassifier(false);
+        plain.classify(SHORT, SECOND);
+        plain.updateMixedStep(140);
+        assertThat(plain.classify(SUMMARY, SECOND)).isEqualTo(LatencyClass.GAP_SENSITIVE);
+        assertThat(plain.longStepMillis()).isEqualTo(73);
+        assertThat(plain.gapCost()).isEqualTo(GapCost.NONE);
+    }
+
     @Test
     void theNumberOfGapTargetsIsBounded() {
         for (int i = 1; i < 1_000; i++) {
