--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/performance/TimingBounds.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/performance/TimingBounds.java
@@ -26,6 +26,12 @@
     /** Largest factor between a reported mean and that of the upstream: twice the range in which workers differ. */
     private static final double MAX_FACTOR = 4;
 
+    /**
+     * Factor above which a mean is implausible rather than unusual. A stream that runs while its engine always reads prompts
+     * has steps that take up to ten times as long as the mean.
+     */
+    private static final double IMPLAUSIBLE_FACTOR = 32;
+
     private static final double MIN_PLAUSIBLE_STEP_MILLIS = 0.1;
     private static final double MAX_PLAUSIBLE_STEP_MILLIS = 2_000;
     private static final double MAX_PLAUSIBLE_RATIO = 100;
@@ -34,7 +40,7 @@
      * Result of checking a reported row.
      *
      * @param sums the bounded sums
-     * @param plausible whether the reported means were within the bounds; capped weights are plausible
+     * @param plausible whether the reported means are possible at all; unusual ones are bounded, but plausible
      */
     public record Checked(TimingSums sums, boolean plausible) {}
 
@@ -43,16 +49,16 @@
      *
      * @param reported the reported sums
      * @param processes number of processes whose sums the report covers at most
-     * @return the bounded sums and whether they had to be bounded
+     * @return the bounded sums, and whether the reported ones are plausible
      */
     public Checked check(TimingSums reported, int processes) {
         double step =
                 bounded(reported.meanStepMillis(), stepMillis, MIN_PLAUSIBLE_STEP_MILLIS, MAX_PLAUSIBLE_STEP_MILLIS);
         double ratio = bounded(reported.responseRatio(), responseRatio, 1 / MAX_PLAUSIBLE_RATIO, MAX_PLAUSIBLE_RATIO);
         double mixed = bounded(reported.meanMixedStepMillis(), 0, MIN_PLAUSIBLE_STEP_MILLIS, MAX_PLAUSIBLE_STEP_MILLIS);
-        boolean plausible = isNear(step, reported.meanStepMillis())
-                && isNear(ratio, reported.responseRatio())
-                && isNear(mixed, reported.meanMixedStepMillis());
+        boolean plausible = isPlausible(step, reported.meanStepMillis())
+                && isPlausible(ratio, reported.responseRatio())
+                && isPlausible(mixed, reported.meanMixedStepMillis());
         double stepTokens = capped(reported.stepTokens(), MAX_TOKENS * processes, step);
         double mixedTokens = capped(reported.mixedStepTokens(), MAX_TOKENS * processes, mixed);
         double expected = capped(reported.expectedMillis(), MAX_EXPECTED_MILLIS * processes, ratio);
@@ -76,7 +82,9 @@
         return mean == 0 ? 0 : Math.min(max, weight);
     }
 
-    private static boolean isNear(double bounded, double mean) {
-        return Math.abs(bounded - mean) <= 1e-9 * Math.abs(mean);
+    /** Returns whether a mean differs from its bounded value by less than what was measured can. */
+    private static boolean isPlausible(double bounded, double mean) {
+        double factor = IMPLAUSIBLE_FACTOR / MAX_FACTOR;
+        return mean <= factor * bounded && bounded <= factor * mean;
     }
 }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/performance/PerformanceEstimatorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/performance/PerformanceEstimatorTest.java
@@ -95,6 +95,17 @@
         assertThat(estimator.estimate(sums).workers().get(0).slowness()).isLessThan(1.5);
     }
 
+    // An honest router has such a mean if it used an engine only while that read prompts. Warnings of it would be
+    // constant.
+    @Test
+    void unusualMeansAreBoundedButPlausible() {
+        TimingBounds.Checked unusual = new TimingBounds(5, 1.4).check(steps(50, 90), 1);
+        assertThat(unusual.plausible()).isTrue();
+        assertThat(unusual.sums().meanStepMillis()).isCloseTo(20, within(1e-9));
+        assertThat(TimingBounds.UNKNOWN.check(steps(50, 90), 1).sums().meanStepMillis())
+                .isCloseTo(50, within(1e-9));
+    }
+
     @Test
     void valuesThatAreNoNumbersCountAsMissing() {
         TimingBounds.Checked checked =
