--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -4,6 +4,7 @@
 
 import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.cold.ColdStartTracker;
+import org.dotterelcourse.policy.performance.TimingRecorder;
 import org.dotterelcourse.policy.performance.WorkerPerformance;
 import org.dotterelcourse.policy.rate.RateShare;
 import org.dotterelcourse.policy.rate.SlidingWindowLog;
@@ -18,10 +19,17 @@
  * gateway's event loop only.
  */
 public final class WorkerState {
+    /** Slowness from which on a worker is reported as slow. It influences decisions at lower values already. */
+    private static final double SLOW_BEGIN = 1.6;
+
+    /** Slowness below which it is no longer reported as slow. */
+    private static final double SLOW_END = 1.3;
+
     private final LocalSuspicion localSuspicion = new LocalSuspicion();
     private final RecentOutcomes outcomes = new RecentOutcomes();
     private final SharedSuspicion sharedSuspicion = new SharedSuspicion();
     private final ColdStartTracker coldStart = new ColdStartTracker();
+    private final TimingRecorder timings = new TimingRecorder();
     private final SlidingWindowLog requestLog = new SlidingWindowLog();
     private final int incarnation;
     private final long sequence;
@@ -32,6 +40,8 @@
     private int suspectRequests;
     private double prefillMillis;
     private PeerLoads.Load peerLoad = PeerLoads.Load.NONE;
+    private boolean isSlow;
+    private WorkerPerformance performance = WorkerPerformance.NOMINAL;
 
     /**
      * Creates the state of a worker without requests.
@@ -86,6 +96,39 @@
         peerLoad = load;
     }
 
+    /** Updates the estimated speed, and returns whether the worker has become much slower or is no longer so. */
+    boolean updatePerformance(WorkerPerformance updated) {
+        performance = updated;
+        boolean slow = updated.slowness() > (isSlow ? SLOW_END : SLOW_BEGIN);
+        boolean changed = slow != isSlow;
+        isSlow = slow;
+        return changed;
+    }
+
+    /** Returns whether the worker was much slower than the others of its upstream at the last update. */
+    boolean isSlow() {
+        return isSlow;
+    }
+
+    WorkerPerformance performance() {
+        return performance;
+    }
+
+    /** Returns the durations that this process has measured at this start of the worker. */
+    TimingRecorder timings() {
+        return timings;
+    }
+
+    /** Returns the number of requests that all processes have in flight at the worker. */
+    int totalInFlight() {
+        return inFlight + peerLoad.inFlight();
+    }
+
+    /** Returns the estimated time in milliseconds to read the prompts of all processes that have no first event yet. */
+    double totalPrefillMillis() {
+        return prefillMillis + peerLoad.prefillMillis();
+    }
+
     LocalSuspicion localSuspicion() {
         return localSuspicion;
     }
@@ -180,6 +223,6 @@
                 prefillMillis + peerLoad.prefillMillis(),
                 usesSharedSuspicion && sharedSuspicion.isSuspected() || localSuspicion.isSuspected(nowNanos),
                 permission,
-                WorkerPerformance.NOMINAL);
+                performance);
     }
 }
