--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ForwardingTree.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ForwardingTree.java
@@ -40,7 +40,7 @@
      *
      * @param receivers the receivers, without the sender
      * @param ownDataCentre data centre of the sender
-     * @return the branches, which contain each receiver once; at most four
+     * @return the branches, which contain each receiver once; at most four, the largest ones first
      */
     static List<Branch> divide(List<Receiver> receivers, String ownDataCentre) {
         Map<String, List<String>> namesByDataCentre = new TreeMap<>(receivers.stream()
@@ -52,12 +52,12 @@
         boolean hasBoth = !localNames.isEmpty() && !remoteGroups.isEmpty();
         int count = hasBoth ? BRANCHES_OF_EACH_SORT : BRANCHES;
         List<Branch> branches = new ArrayList<>();
-        for (List<String> names : split(localNames, count)) {
-            branches.add(branch(names));
-        }
         for (List<List<String>> groups : split(remoteGroups, count)) {
             branches.add(branch(groups.stream().flatMap(List::stream).toList()));
         }
+        for (List<String> names : split(localNames, count)) {
+            branches.add(branch(names));
+        }
         return branches;
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemsCodec.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemsCodec.java
@@ -48,8 +48,8 @@
     }
 
     /**
-     * Compresses the items of a message. The level is the fastest one: a configuration of 412 KB with 1,760 routes is
-     * deflated to 21 KB in 1.6 ms, which takes 24 ms on a link of 7 Mbit/s.
+     * Compresses the items of a message. A configuration of 420 KB with 1,760 routes is deflated to 34 KB in 3.7 ms at this
+     * level, and to 41 KB in 1.7 ms at the fastest one, which takes 8 ms more for each of its copies on a link of 7 Mbit/s.
      *
      * @param message a message with uncompressed items
      * @return the same message with compressed items
@@ -59,7 +59,7 @@
                 .addAllItems(message.getItemsList())
                 .build()
                 .toByteArray();
-        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        Deflater deflater = new Deflater(Deflater.DEFAULT_COMPRESSION);
         try {
             deflater.setInput(inflated);
             deflater.finish();
