--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
@@ -1,7 +1,10 @@
 package org.dotterelcourse.gateway.fleet;
 
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -63,7 +66,13 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long LOG_INTERVAL_NANOS = 10_000 * NANOS_PER_MILLI;
 
+    /** A process that has requested compressed items understands them, unless it was replaced by an earlier version. */
+    private static final long COMPRESSION_KNOWN_NANOS = 10_000 * NANOS_PER_MILLI;
+
     private final int compressAboveBytes;
+    private final ResponseDelay responseDelay = new ResponseDelay();
+    private final Map<String, Long> compressedRequestNanos = new HashMap<>();
+    private final Set<String> delayedPeers = new HashSet<>();
     private GatewayLoop loop;
     private Publications publications;
     private Peers peers;
@@ -112,8 +121,8 @@
         forwardedMessages = registry.counter("gateway.configuration.forwarded-messages");
         invalidMessages = registry.counter("gateway.configuration.invalid-messages");
         requests = registry.counter("gateway.configuration.requests-to-peers");
-        registerHandler(ITEMS_REQUEST, (peer, body) -> respond(peer, body, false));
-        registerHandler(COMPRESSED_ITEMS_REQUEST, (peer, body) -> respond(peer, body, true));
+        registerHandler(ITEMS_REQUEST, (peer, body) -> handleRequest(peer, body, false));
+        registerHandler(COMPRESSED_ITEMS_REQUEST, (peer, body) -> handleRequest(peer, body, true));
         registerHandler(ITEMS, this::receive);
         registerHandler(COMPRESSED_ITEMS, this::receive);
         publications.setReadListener(this::distribute);
@@ -140,6 +149,7 @@
      * @param position position of the peer
      */
     void recordPeerPosition(String peer, StorePosition position) {
+        responseDelay.recordPeerPosition(peer, position);
         highestPosition = position.isAfter(highestPosition) ? position : highestPosition;
         boolean stale = highestPosition.isAfter(publications.position());
         publications.followerElection().recordStaleness(stale, loop.nowNanos());
@@ -171,8 +181,11 @@
         }
     }
 
-    /** Sends a peer the changes that it has missed, or all items if these changes are not known. */
-    private void respond(String peer, byte[] body, boolean compressed) {
+    /**
+     * Responds to a request, after a delay if a large message is on its way to the peer. A peer that has lately requested
+     * compressed items gets them as well if it repeats the request on the old channel, because it had no response in time.
+     */
+    private void handleRequest(String peer, byte[] body, boolean compressed) {
         StorePosition after;
         try {
             FleetProtos.ItemsRequest request = FleetProtos.ItemsRequest.parseFrom(body);
@@ -181,6 +194,27 @@
             rejectMessage(peer, e);
             return;
         }
+        long nowNanos = loop.nowNanos();
+        if (compressed) {
+            compressedRequestNanos.put(peer, nowNanos);
+        }
+        Long lastNanos = compressedRequestNanos.get(peer);
+        boolean knowsCompression = lastNanos != null && nowNanos - lastNanos < COMPRESSION_KNOWN_NANOS;
+        long delayMillis = responseDelay.delayMillis(after, nowNanos);
+        if (delayMillis == 0) {
+            respond(peer, after, knowsCompression);
+        } else if (delayedPeers.add(peer)) {
+            loop.runAfter(delayMillis, () -> {
+                delayedPeers.remove(peer);
+                if (!responseDelay.hasArrived(peer)) {
+                    respond(peer, after, knowsCompression);
+                }
+            });
+        }
+    }
+
+    /** Sends a peer the changes that it has missed, or all items if these changes are not known. */
+    private void respond(String peer, StorePosition after, boolean compressed) {
         Optional<List<PublishedItem>> changes = publications.changesAfter(after);
         FleetProtos.Items.Builder message = ItemsCodec.encode(
                         changes.orElseGet(publications::live), publications.position())
@@ -210,6 +244,7 @@
         if (message.getSerializedSize() > compressAboveBytes) {
             if (hasNew) {
                 compressedMessages.inc();
+                responseDelay.recordLargeMessage(upTo, loop.nowNanos());
                 sendAlongTree(ItemsCodec.compress(message), otherMembers());
             }
             return;
@@ -294,6 +329,9 @@
         } else {
             publications.applySnapshot(items, position);
         }
+        if (isNew && !message.getCompressedItems().isEmpty()) {
+            responseDelay.recordLargeMessage(position, loop.nowNanos());
+        }
         if (isNew) {
             forward(peer, message, body);
         }
