Requests that arrive during a start wait for the routing table

Cause: after a loss of all processes, clients were refused a connection or got 503 until a process had read the store, and each client retries only once.

Change: Main opens the client port before the other services are loaded (ClientListener) and the HTTP server takes the socket over. Requests wait for the routing table (StartupQueue) as long as policy.start.StartupWait allows, and are then released in batches by the workers' slots. Requests of clients that have disconnected are removed. A body longer than 32 KB is no longer rejected before a configuration is known.

Ruled out: a second event loop for the port, which costs more than it gains on a fraction of a core.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -164,6 +164,15 @@
         return table != null && workersLoaded;
     }
 
+    /**
+     * Returns the largest number of processes that this process has known at a time.
+     *
+     * @return the number, including this process
+     */
+    public int processes() {
+        return maxProcesses;
+    }
+
     /**
      * Returns the registry of workers.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -54,13 +55,21 @@
 
     private static final Duration STOP_TIMEOUT = Duration.ofMillis(200);
 
-    private final ListenAddress listenAddress;
+    /** Limit for bodies before the published one is known; above all of them, so that no request is rejected wrongly. */
+    private static final int MAX_BODY_BYTES_BEFORE_START = 1 << 20;
+
+    /** Assumed for a client that states no timeout before the routes are known: the shortest required timeout. */
+    private static final long TIMEOUT_MILLIS_BEFORE_START = 4_000;
+
+    private final ClientListener listener;
     private final Dialect dialect;
+    private final int minProcesses;
     private final Admission admission;
     private final InFlightCounter inFlight = new InFlightCounter();
     private GatewayLoop loop;
     private GatewayState state;
     private RequestPacer pacer;
+    private StartupQueue startup;
     private Forwarder forwarder;
     private Counter endedRequests;
     private DisposableServer server;
@@ -85,13 +94,15 @@
     public record ListenAddress(String address, int port) {}
 
     /**
-     * Creates a server, which listens only after {@link #start(Kernel)}.
+     * Creates a server, which reads requests only after {@link #start(Kernel)}.
      *
-     * @param listenAddress the address to listen on
+     * @param listener the listening socket
      * @param dialect the platform-specific headers of clients
+     * @param minProcesses number of processes that are assumed to share the workers before more are known
      */
-    public ClientHttpServer(ListenAddress listenAddress, Dialect dialect) {
-        this.listenAddress = listenAddress;
+    public ClientHttpServer(ClientListener listener, Dialect dialect, int minProcesses) {
+        this.listener = listener;
+        this.minProcesses = minProcesses;
         this.dialect = dialect;
         this.admission = new Admission(dialect);
     }
@@ -112,17 +123,18 @@
         state = kernel.find(GatewayState.NAME);
         pacer = new RequestPacer(loop);
         forwarder = kernel.find(Forwarder.NAME);
-        endedRequests = kernel.find(GatewayMetrics.NAME).registry().counter("gateway.requests.ended");
+        MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
+        endedRequests = metrics.counter("gateway.requests.ended");
+        startup = new StartupQueue(loop, state, listener, minProcesses, metrics);
         try {
             server = HttpServer.create()
-                    .host(listenAddress.address())
-                    .port(listenAddress.port())
-                    .runOn(loop.resources(), false)
+                    .runOn(listener.resources(loop.resources()), false)
                     .idleTimeout(IDLE_TIMEOUT)
                     .httpRequestDecoder(
                             decoder -> decoder.maxHeaderSize(MAX_HEADER_BYTES).maxInitialLineLength(MAX_HEADER_BYTES))
                     .handle(this::handle)
                     .bindNow();
+            startup.begin();
             return List.of();
         } catch (ChannelBindException e) {
             return List.of(new StartupFailure(NAME.value(), "can't listen for clients: " + e.getMessage()));
@@ -165,12 +177,14 @@
     }
 
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
-        long arrivalNanos = loop.nowNanos() - readDelayNanos();
+        long arrivalNanos = startup.earliestArrivalNanos(loop.nowNanos() - readDelayNanos());
         RequestLog log = new RequestLog(dialect.requestId(request.requestHeaders()), arrivalNanos);
         return Mono.defer(() -> {
                     inFlight.increment();
                     return readBody(request)
-                            .flatMap(body -> pacer.admit().thenReturn(body))
+                            .flatMap(body -> startup.await(arrivalNanos, timeoutMillis(request))
+                                    .then(pacer.admit())
+                                    .thenReturn(body))
                             .flatMap(body -> serve(request, response, body, arrivalNanos, log));
                 })
                 .takeUntilOther(disconnection(request))
@@ -194,6 +208,10 @@
         return TimeUnit.MILLISECONDS.toNanos(Math.min(MAX_READ_DELAY_MILLIS, loop.lagMillis()));
     }
 
+    private long timeoutMillis(HttpServerRequest request) {
+        return dialect.clientTimeoutMillis(request.requestHeaders()).orElse(TIMEOUT_MILLIS_BEFORE_START);
+    }
+
     /** Completes when the client's connection closes. Its listener is removed at the end of the request. */
     private static Mono<Void> disconnection(HttpServerRequest request) {
         return Mono.create(sink -> request.withConnection(connection -> {
@@ -205,7 +223,7 @@
     }
 
     private Mono<byte[]> readBody(HttpServerRequest request) {
-        int maxBytes = state.table().map(table -> table.limits().maxBodyBytes()).orElse(MAX_HEADER_BYTES);
+        int maxBytes = state.table().map(table -> table.limits().maxBodyBytes()).orElse(MAX_BODY_BYTES_BEFORE_START);
         return new BoundedBodyCollector(maxBytes).collect(request.receive());
     }
 
@@ -217,6 +235,12 @@
         if (phase == Phase.DRAINING) {
             return sendLocal(response, LocalReply.notExecuted("shutting down", 1), log);
         }
+        if (state.table().isEmpty()) {
+            return sendLocal(response, LocalReply.notExecuted("no routing table yet", startup.retryAfterMillis()), log);
+        }
+        if (body.length > state.table().get().limits().maxBodyBytes()) {
+            return sendLocal(response, TOO_LARGE, log);
+        }
         HttpHeaders headers = request.requestHeaders();
         Admission.Decision decision = admission.decide(state.table(), headers, request.uri(), arrivalNanos);
         if (decision instanceof Admission.Decision.Rejected rejected) {
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientListener.java
@@ -0,0 +1,117 @@
+package org.dotterelcourse.gateway.edge;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * The listening socket of the client port. Opened before any other class is loaded, so that clients that connect during
+ * a start wait in the socket's backlog instead of being refused; the HTTP server takes it over.
+ */
+public final class ClientListener {
+    /** All connections that clients open at a VM within the longest start; the kernel reduces it to its own maximum. */
+    private static final int BACKLOG = 1024;
+
+    /**
+     * Ratio of the time from listening to the first routing table to the time from the process's start to listening. It
+     * was 2.9 to 3.8 at 0.12 to 1 cores (docs/design/START.md), whatever the VM's speed.
+     */
+    private static final long START_RATIO = 4;
+
+    private static final long MIN_EXPECTED_MILLIS = 300;
+    private static final long MAX_EXPECTED_MILLIS = 5_000;
+
+    private final ServerSocketChannel socket;
+    private final long listeningNanos;
+    private final long expectedMillis;
+
+    private ClientListener(ServerSocketChannel socket, long listeningNanos, long expectedMillis) {
+        this.socket = socket;
+        this.listeningNanos = listeningNanos;
+        this.expectedMillis = expectedMillis;
+    }
+
+    /**
+     * Opens the socket.
+     *
+     * @param address the address to listen on
+     * @param processMillis how long the process has been running, in milliseconds; 0 if it is not starting
+     * @return the listening socket
+     * @throws IOException if the address can't be used
+     */
+    public static ClientListener open(ClientHttpServer.ListenAddress address, long processMillis) throws IOException {
+        ServerSocketChannel socket = ServerSocketChannel.open();
+        try {
+            socket.bind(new InetSocketAddress(address.address(), address.port()), BACKLOG);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+        long expected = Math.max(MIN_EXPECTED_MILLIS, Math.min(MAX_EXPECTED_MILLIS, processMillis * START_RATIO));
+        return new ClientListener(socket, System.nanoTime(), expected);
+    }
+
+    /**
+     * Returns the TCP port of the socket.
+     *
+     * @return the actual port, also if a free one was requested
+     */
+    public int port() {
+        return socket.socket().getLocalPort();
+    }
+
+    /** Returns the monotonic time in nanoseconds since when connections are accepted. */
+    long listeningNanos() {
+        return listeningNanos;
+    }
+
+    /** Returns the expected time in milliseconds from listening until this process can serve. */
+    long expectedMillis() {
+        return expectedMillis;
+    }
+
+    /** Returns the given loops, with this socket in place of a new one for the server. */
+    LoopResources resources(LoopResources loops) {
+        return new LoopResources() {
+            @Override
+            public EventLoopGroup onServer(boolean useNative) {
+                return loops.onServer(useNative);
+            }
+
+            @Override
+            public EventLoopGroup onServerSelect(boolean useNative) {
+                return loops.onServerSelect(useNative);
+            }
+
+            @Override
+            public <C extends Channel> C onChannel(Class<C> type, EventLoopGroup group) {
+                return type.isAssignableFrom(NioServerSocketChannel.class)
+                        ? type.cast(new BoundChannel(socket))
+                        : loops.onChannel(type, group);
+            }
+
+            @Override
+            public <C extends Channel> Class<? extends C> onChannelClass(Class<C> type, EventLoopGroup group) {
+                return loops.onChannelClass(type, group);
+            }
+        };
+    }
+
+    /** A server channel on a socket that listens already. */
+    private static final class BoundChannel extends NioServerSocketChannel {
+        BoundChannel(ServerSocketChannel socket) {
+            super(socket);
+        }
+
+        @Override
+        protected void doBind(SocketAddress localAddress) {
+            // The socket has been bound before the classes of this channel were loaded.
+        }
+    }
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/StartupQueue.java
@@ -0,0 +1,131 @@
+package org.dotterelcourse.gateway.edge;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.dotterelcourse.gateway.GatewayLoop;
+import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.policy.start.StartupWait;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/**
+ * Holds requests that arrive before this process can serve, the one whose wait ends first in front, and releases them in
+ * batches once it can. Must be used on the gateway's event loop only.
+ */
+final class StartupQueue {
+    private static final Logger LOG = Logger.getLogger(StartupQueue.class);
+
+    /** A timer set by another timer runs only after all connections have been polled for closing clients. */
+    private static final long TICK_MILLIS = 10;
+
+    /** Ticks in which the connections of the backlog are accepted; Netty accepts 16 between two timers. */
+    private static final int BACKLOG_TICKS = 5;
+
+    /** With bodies of up to 20 KB, these take at most 10 MB of a process's memory. */
+    private static final int MAX_WAITING = 512;
+
+    private final GatewayLoop loop;
+    private final GatewayState state;
+    private final int minProcesses;
+    private final StartupWait wait;
+    private final long listeningNanos;
+    private final TreeSet<Entry> waiting =
+            new TreeSet<>(Comparator.comparingLong(Entry::remainingNanos).thenComparingLong(Entry::number));
+    private final Counter waited;
+    private final Counter expired;
+    private final Counter disconnected;
+    private long nextNumber;
+    private int ticks;
+    private boolean started;
+    private volatile long startMillis;
+
+    /** A waiting request; times are relative to when the process began to listen. */
+    private record Entry(long remainingNanos, long number, MonoSink<Void> sink) {}
+
+    StartupQueue(
+            GatewayLoop loop, GatewayState state, ClientListener listener, int minProcesses, MetricRegistry metrics) {
+        this.loop = loop;
+        this.state = state;
+        this.minProcesses = minProcesses;
+        listeningNanos = listener.listeningNanos();
+        wait = new StartupWait(listeningNanos, listener.expectedMillis());
+        waited = metrics.counter("gateway.start.waited");
+        expired = metrics.counter("gateway.start.expired");
+        disconnected = metrics.counter("gateway.start.disconnected");
+        metrics.register("gateway.start.milliseconds", (Gauge<Long>) () -> startMillis);
+    }
+
+    /** Begins to release requests. Must be called when the server has taken over the listening socket. */
+    void begin() {
+        loop.runAfter(TICK_MILLIS, this::tick);
+    }
+
+    /** Completes when a request may proceed: at once after the start, otherwise when it is released or has expired. */
+    Mono<Void> await(long arrivalNanos, long timeoutMillis) {
+        return Mono.defer(() -> started || waiting.size() >= MAX_WAITING
+                ? Mono.empty()
+                : Mono.create(sink -> enqueue(sink, wait.deadlineNanos(arrivalNanos, timeoutMillis))));
+    }
+
+    long retryAfterMillis() {
+        return wait.retryAfterMillis(loop.nowNanos());
+    }
+
+    /**
+     * Returns the earliest time at which a request that is read now can have arrived. If it has waited in the socket's
+     * backlog, this is when the process began to listen.
+     */
+    long earliestArrivalNanos(long readNanos) {
+        return ticks < BACKLOG_TICKS ? Math.min(readNanos, listeningNanos) : readNanos;
+    }
+
+    private void enqueue(MonoSink<Void> sink, long deadlineNanos) {
+        Entry entry = new Entry(deadlineNanos - listeningNanos, nextNumber++, sink);
+        waiting.add(entry);
+        waited.inc();
+        sink.onDispose(() -> {
+            if (waiting.remove(entry)) {
+                disconnected.inc();
+            }
+        });
+    }
+
+    private void tick() {
+        ticks++;
+        boolean ready = state.isReady();
+        if (ready && startMillis == 0) {
+            startMillis = Math.max(1, (loop.nowNanos() - listeningNanos) / 1_000_000L);
+            LOG.infof(
+                    "ready %d ms after the client port began to listen; %d requests wait, %d have expired",
+                    startMillis, waiting.size(), expired.getCount());
+        }
+        if (ready) {
+            release(StartupWait.batchSize(state.workers().slots(), Math.max(minProcesses, state.processes())));
+        } else {
+            expire();
+        }
+        started = ready && waiting.isEmpty() && ticks >= BACKLOG_TICKS;
+        if (!started) {
+            loop.runAfter(TICK_MILLIS, this::tick);
+        }
+    }
+
+    private void expire() {
+        long elapsedNanos = loop.nowNanos() - listeningNanos;
+        while (!waiting.isEmpty() && waiting.first().remainingNanos() <= elapsedNanos) {
+            expired.inc();
+            waiting.pollFirst().sink().success();
+        }
+    }
+
+    private void release(int count) {
+        for (int i = 0; i < count && !waiting.isEmpty(); i++) {
+            waiting.pollFirst().sink().success();
+        }
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -150,6 +150,15 @@
         }
     }
 
+    /**
+     * Returns the number of requests that all published workers can run concurrently.
+     *
+     * @return the sum of the workers' slots
+     */
+    public int slots() {
+        return byId.values().stream().mapToInt(worker -> worker.entry().slots()).sum();
+    }
+
     /**
      * Finds a worker by its name.
      *
