--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/StartupQueue.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/StartupQueue.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.gateway.edge;
 
 import java.util.Comparator;
+import java.util.List;
 import java.util.TreeSet;
 
 import com.codahale.metrics.Counter;
@@ -34,6 +35,7 @@
     private final int minProcesses;
     private final StartupWait wait;
     private final long listeningNanos;
+    private final long expectedMillis;
     private final TreeSet<Entry> waiting =
             new TreeSet<>(Comparator.comparingLong(Entry::remainingNanos).thenComparingLong(Entry::number));
     private final Counter waited;
@@ -45,7 +47,7 @@
     private volatile long startMillis;
 
     /** A waiting request; times are relative to when the process began to listen. */
-    private record Entry(long remainingNanos, long number, MonoSink<Void> sink) {}
+    private record Entry(long remainingNanos, long number, int tick, MonoSink<Void> sink) {}
 
     StartupQueue(
             GatewayLoop loop, GatewayState state, ClientListener listener, int minProcesses, MetricRegistry metrics) {
@@ -53,7 +55,8 @@
         this.state = state;
         this.minProcesses = minProcesses;
         listeningNanos = listener.listeningNanos();
-        wait = new StartupWait(listeningNanos, listener.expectedMillis());
+        expectedMillis = listener.expectedMillis();
+        wait = new StartupWait(listeningNanos, expectedMillis);
         waited = metrics.counter("gateway.start.waited");
         expired = metrics.counter("gateway.start.expired");
         disconnected = metrics.counter("gateway.start.disconnected");
@@ -85,7 +88,7 @@
     }
 
     private void enqueue(MonoSink<Void> sink, long deadlineNanos) {
-        Entry entry = new Entry(deadlineNanos - listeningNanos, nextNumber++, sink);
+        Entry entry = new Entry(deadlineNanos - listeningNanos, nextNumber++, ticks, sink);
         waiting.add(entry);
         waited.inc();
         sink.onDispose(() -> {
@@ -101,8 +104,8 @@
         if (ready && startMillis == 0) {
             startMillis = Math.max(1, (loop.nowNanos() - listeningNanos) / 1_000_000L);
             LOG.infof(
-                    "ready %d ms after the client port began to listen; %d requests wait, %d have expired",
-                    startMillis, waiting.size(), expired.getCount());
+                    "ready %d ms after the client port began to listen, %d ms were expected; %d requests wait, %d have expired",
+                    startMillis, expectedMillis, waiting.size(), expired.getCount());
         }
         if (ready) {
             release(StartupWait.batchSize(state.workers().slots(), Math.max(minProcesses, state.processes())));
@@ -115,17 +118,36 @@
         }
     }
 
+    /** Completes the waits that have ended. Without a routing table, the requests are then rejected. */
     private void expire() {
         long elapsedNanos = loop.nowNanos() - listeningNanos;
-        while (!waiting.isEmpty() && waiting.first().remainingNanos() <= elapsedNanos) {
-            expired.inc();
-            waiting.pollFirst().sink().success();
+        for (Entry entry : polled(MAX_WAITING)) {
+            if (entry.remainingNanos() <= elapsedNanos) {
+                expired.inc();
+                complete(entry);
+            }
         }
     }
 
     private void release(int count) {
-        for (int i = 0; i < count && !waiting.isEmpty(); i++) {
-            waiting.pollFirst().sink().success();
+        polled(count).forEach(this::complete);
+    }
+
+    /**
+     * Returns waiting requests whose connections have been polled since they were read, so that none of a client is sent
+     * that disconnected before.
+     */
+    private List<Entry> polled(int count) {
+        return waiting.stream()
+                .filter(entry -> entry.tick() + 2 <= ticks)
+                .limit(count)
+                .toList();
+    }
+
+    private void complete(Entry entry) {
+        // Completing one request can end others, which are then no longer waiting.
+        if (waiting.remove(entry)) {
+            entry.sink().success();
         }
     }
 }
