Costs of gap-sensitive streams grow with the excess of their gaps on slow engines

Change: all costs of a gap-sensitive stream are multiplied by the weight of its gaps on the engine as well. It is 1 on an engine of nominal speed.

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -290,7 +290,8 @@
             if (!gapSensitive) {
                 cost += prefill * worker.interactiveStreams() * gapCost.weight(slowness);
             }
-            cost *= slowness;
+            // A gap-sensitive stream itself is late on a slow engine whenever a prompt is read beside it.
+            cost *= gapSensitive ? slowness * gapCost.weight(slowness) : slowness;
             boolean local = worker.dataCentre().equals(dataCentre);
             return cost + (local ? 0 : REMOTE_MILLIS) + random.nextDouble() * NOISE_MILLIS;
         }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/UnevenEnginesTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/UnevenEnginesTest.java
@@ -24,7 +24,7 @@
         double[] separated = onTime(false, true);
         double[] both = onTime(true, true);
         assertThat(separated[0]).isGreaterThan(before[0] + 0.2);
-        assertThat(both[0]).isGreaterThan(separated[0] + 0.02);
+        assertThat(both[0]).isGreaterThan(separated[0] + 0.05);
         // Summaries and drafts must not pay for it.
         assertThat(both[1]).isGreaterThan(before[1]);
         assertThat(both[2]).isGreaterThan(before[2] - 0.01);
