--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param name the VM's name, unique in the fleet
  * @param dataCentre the data centre of the VM
  * @param region the region of the VM
+ * @param capacityCores the processor capacity of the VM in cores; 0 if unknown
  * @param grace the grace period after SIGTERM within which the process must end
  * @param clients the listen address for client requests
  * @param readiness the listen address of the readiness endpoint
@@ -18,6 +19,7 @@
  * @param metrics the listen address of the metrics endpoint; empty if it is disabled
  * @param store the address of the platform's store
  * @param changesWithin the maximum time until a published change is in force on every process
+ * @param configurationUpdate how a published configuration is taken over
  * @param seeds the addresses of the peers contacted first to join the cluster
  * @param repeatRatio the retry budget of an upstream, in retries per request
  * @param repeatExtra retries allowed across the whole fleet in each window in addition to {@code repeatRatio}
@@ -27,6 +29,7 @@
         String name,
         String dataCentre,
         String region,
+        double capacityCores,
         Duration grace,
         String clients,
         String readiness,
@@ -35,6 +38,7 @@
         String metrics,
         String store,
         Duration changesWithin,
+        ConfigurationUpdate configurationUpdate,
         List<String> seeds,
         double repeatRatio,
         double repeatExtra,
@@ -53,6 +57,7 @@
         private String name;
         private String dataCentre;
         private String region;
+        private double capacityCores;
         private Duration grace;
         private String clients;
         private String readiness;
@@ -61,6 +66,7 @@
         private String metrics = "";
         private String store;
         private Duration changesWithin;
+        private ConfigurationUpdate configurationUpdate = ConfigurationUpdate.DEFAULT;
         private List<String> seeds = List.of();
         private double repeatRatio;
         private double repeatExtra;
@@ -101,6 +107,17 @@
             return this;
         }
 
+        /**
+         * Sets the processor capacity of the VM in cores.
+         *
+         * @param value the capacity; 0 if unknown
+         * @return this builder
+         */
+        public Builder capacityCores(double value) {
+            capacityCores = value;
+            return this;
+        }
+
         /**
          * Sets the grace period after SIGTERM within which the process must end.
          *
@@ -189,6 +206,17 @@
             return this;
         }
 
+        /**
+         * Sets how a published configuration is taken over. The default is {@link ConfigurationUpdate#DEFAULT}.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder configurationUpdate(ConfigurationUpdate value) {
+            configurationUpdate = value;
+            return this;
+        }
+
         /**
          * Sets the addresses of the peers contacted first to join the cluster.
          *
@@ -243,6 +271,7 @@
                     name,
                     dataCentre,
                     region,
+                    capacityCores,
                     grace,
                     clients,
                     readiness,
@@ -251,6 +280,7 @@
                     metrics,
                     store,
                     changesWithin,
+                    configurationUpdate,
                     seeds,
                     repeatRatio,
                     repeatExtra,
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -6,6 +6,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -72,6 +73,7 @@
     private StartupQueue startup;
     private Forwarder forwarder;
     private Counter endedRequests;
+    private Counter flushes;
     private DisposableServer server;
     private volatile Phase phase = Phase.SERVING;
 
@@ -126,6 +128,7 @@
         MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
         endedRequests = metrics.counter("gateway.requests.ended");
         startup = new StartupQueue(loop, state, listener, minProcesses, metrics);
+        flushes = metrics.counter("gateway.efficiency.flushes");
         try {
             server = HttpServer.create()
                     .runOn(listener.resources(loop.resources()), false)
@@ -272,14 +275,19 @@
         response.status(streamed.status());
         response.responseHeaders().add(Admission.forwardedResponseHeaders(streamed.headers()));
         response.chunkedTransfer(true);
-        return response.send(
-                        ByteBufFlux.fromInbound(Flux.from(streamed.events()).map(Unpooled::wrappedBuffer)),
-                        buffer -> true)
-                .then()
-                .doOnError(error -> {
-                    log.recordFailure(error);
-                    response.withConnection(connection -> connection.channel().close());
-                });
+        return sendEvents(response, streamed).doOnError(error -> {
+            log.recordFailure(error);
+            response.withConnection(connection -> connection.channel().close());
+        });
+    }
+
+    private Mono<Void> sendEvents(HttpServerResponse response, Reply.Streamed streamed) {
+        if (EventWriter.isApplicable(response)) {
+            return response.then(new EventWriter(streamed.events(), EventWriter.channel(response), flushes))
+                    .then();
+        }
+        Flux<ByteBuf> events = Flux.from(streamed.events()).map(Unpooled::wrappedBuffer);
+        return response.send(ByteBufFlux.fromInbound(events), buffer -> true).then();
     }
 
     private static Mono<Void> sendLocal(HttpServerResponse response, LocalReply reply, RequestLog log) {
