Sum up and encode load reports once for all receivers

Cause: a collector summed up all reports, counted its own loads and built a message anew for each of its reporters, ten times a second; each router summed up unchanged reports for each request; and a router whose only news was that recent outcomes had decayed reported them ten times a second.

Change: PeerLoads keeps the sum of all reports until one arrives or expires; a process with one report, that of its collector, uses it as it is. A collector converts the sums to columns once (LoadColumns) and replaces only the rows of the workers that the receiver uses itself (CollectedLoads). Position, followers and notices are encoded once a period (ReportEncoder). Decayed outcomes alone are repeated every 500 ms as before, but are no longer sent every 100 ms. With more than 400 workers in a report, a collector's period grows up to 400 ms. Members are found by name. Counters gateway.efficiency.*: reports sent, received and unchanged, their bytes, selections, rebuilds of the worker index.

Ruled out: partial reports; in deployment A three of four engines change within 100 ms, so there is little to leave out, and the protocol has no field that marks a partial report.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -1,13 +1,10 @@
 package org.dotterelcourse.gateway.fleet;
 
 import java.util.ArrayList;
-import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.dotterelcourse.coordination.collect.CollectorPlan;
@@ -23,6 +20,7 @@
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
+import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.published.Publications;
 import org.dotterelcourse.gateway.published.StoreFollowerElection;
 import org.dotterelcourse.gateway.published.StorePosition;
@@ -78,11 +76,22 @@
      */
     private static final String ANY_COLLECTOR = "";
 
-    /** Keys for groups of receivers that get the same report, used alongside the names of reporters. */
-    private static final String ALL = "*";
+    /**
+     * Workers in a report up to which its period is {@link #COLLECTED_PERIOD_MILLIS}. With more, the period grows in
+     * proportion, so that collectors convert the same number of rows a second in any fleet, at most to {@link
+     * #MAX_COLLECTED_PERIOD_MILLIS}.
+     */
+    private static final int ROWS_PER_PERIOD = 400;
 
-    private static final String COLLECTORS = "**";
-    private static final Set<String> RECEIVER_GROUPS = Set.of(ALL, COLLECTORS);
+    /** Longest report period: below {@link #UNCHANGED_PERIOD_MILLIS}, and below half of {@link #REPORT_TIMEOUT_MILLIS}. */
+    private static final long MAX_COLLECTED_PERIOD_MILLIS = 400;
+
+    /** Receivers for which reports become due together. */
+    private enum Receivers {
+        ALL,
+        COLLECTORS,
+        REPORTERS
+    }
 
     private static final String FOLLOWER_HASH_KEY = "follower";
 
@@ -106,22 +115,14 @@
     private final List<CachedPrefixes.PartLocation> gatheredLocations = new ArrayList<>();
     private String collector = "";
     private long lastCollectorReportNanos;
-    private final Map<String, SentReport> lastSent = new HashMap<>();
+    private final Map<Receivers, SentReport> lastSent = new EnumMap<>(Receivers.class);
+    private final Map<String, Member> membersByName = new HashMap<>();
+    private ReportEncoder encoder;
+    private ExchangeMetrics metrics;
+    private int reportedRows;
 
-    /** Notices included in all reports of the current period. */
-    private Notices notices = Notices.NONE;
-
-    /** Notices about workers, which are sent unchanged to all receivers. */
-    private record Notices(List<CrashNotice> crashes, List<LimitNotice> limits) {
-        private static final Notices NONE = new Notices(List.of(), List.of());
-
-        boolean isEmpty() {
-            return crashes.isEmpty() && limits.isEmpty();
-        }
-    }
-
-    /** The loads last sent to a receiver or group, with the time of the report. */
-    private record SentReport(Map<Integer, PeerLoads.Load> loads, long atNanos) {}
+    /** The loads last sent to a group of receivers, with the time of the report. */
+    private record SentReport(LoadColumns loads, long atNanos) {}
 
     @Override
     public ServiceName<FleetExchange> name() {
@@ -130,7 +131,13 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(GatewayLoop.NAME, GatewayState.NAME, Publications.NAME, Peers.NAME, ItemRelay.NAME);
+        return List.of(
+                GatewayLoop.NAME,
+                GatewayState.NAME,
+                Publications.NAME,
+                Peers.NAME,
+                ItemRelay.NAME,
+                GatewayMetrics.NAME);
     }
 
     @Override
@@ -141,6 +148,8 @@
         relay = kernel.find(ItemRelay.NAME);
         peers = kernel.find(Peers.NAME);
         transport = peers.transport();
+        encoder = new ReportEncoder(state, publications);
+        metrics = new ExchangeMetrics(kernel.find(GatewayMetrics.NAME).registry(), state.workers());
         transport.registerHandler(
                 LOADS, message -> loop.execute(() -> receive(message.sender().name(), message.body())));
         loop.runAfter(MIN_DIRECT_PERIOD_MILLIS, this::sendReports);
@@ -166,22 +175,28 @@
                                     .map(FleetExchange::id)
                                     .toList(),
                             plan.readerCount());
+            membersByName.clear();
+            view.forEach(member -> membersByName.put(member.name(), member));
             others = view.stream().filter(this::isOther).map(Member::name).toList();
             state.workers().updateFleet(peers.self(), others, nowNanos);
             state.quarantine().scheduleReminders();
             state.workers().limits().scheduleReminders();
         }
         state.updateFleetSize(others.size() + 1);
-        notices = new Notices(
-                state.quarantine().takeNotices(nowNanos),
-                state.workers().limits().takeNotices(nowNanos));
+        encoder.beginPeriod(nowNanos);
         if (plan.isDirect()) {
             reportToAll(nowNanos);
         } else {
             reportByPlan(nowNanos);
         }
         long period = Math.max(MIN_DIRECT_PERIOD_MILLIS, DIRECT_PERIOD_MILLIS_PER_PEER * others.size());
-        loop.runAtNextMultiple(plan.isDirect() ? period : COLLECTED_PERIOD_MILLIS, this::sendReports);
+        loop.runAtNextMultiple(plan.isDirect() ? period : collectedPeriodMillis(reportedRows), this::sendReports);
+    }
+
+    /** Returns the report period in a fleet with collectors, for reports with the given number of workers. */
+    static long collectedPeriodMillis(int rows) {
+        long periods = (rows + ROWS_PER_PERIOD - 1) / ROWS_PER_PERIOD;
+        return Math.min(MAX_COLLECTED_PERIOD_MILLIS, COLLECTED_PERIOD_MILLIS * Math.max(1, periods));
     }
 
     private boolean isOther(Member member) {
@@ -190,30 +205,33 @@
 
     /** Reports to all processes, in a small fleet. */
     private void reportToAll(long nowNanos) {
-        Map<Integer, PeerLoads.Load> own = state.workers().localLoads(nowNanos);
+        LoadColumns own = new LoadColumns(state.workers().localLoads(nowNanos));
         List<CachedPrefixes.PartLocation> locations = state.cachedPrefixes().drainUnreported();
-        if (!recordIfDue(ALL, own, locations, nowNanos)) {
+        if (!recordIfDue(Receivers.ALL, own, locations, nowNanos)) {
             return;
         }
-        byte[] report = report(FleetProtos.LoadReport.Kind.OWN, own, "", locations, nowNanos);
-        plannedView.stream().filter(this::isOther).forEach(member -> send(member, report));
+        byte[] report = encoder.encode(FleetProtos.LoadReport.Kind.OWN, "", own.encode(), locations);
+        for (Member member : plannedView) {
+            if (isOther(member)) {
+                send(member, report);
+            }
+        }
     }
 
-    /** Returns whether a report to a receiver or group is due, and if so records it as sent. */
+    /** Returns whether a report to a group of receivers is due, and if so records it as sent. */
     private boolean recordIfDue(
-            String receiver,
-            Map<Integer, PeerLoads.Load> loads,
-            List<CachedPrefixes.PartLocation> locations,
-            long nowNanos) {
-        SentReport last = lastSent.get(receiver);
+            Receivers receivers, LoadColumns loads, List<CachedPrefixes.PartLocation> locations, long nowNanos) {
+        SentReport last = lastSent.get(receivers);
         boolean due = last == null
                 || !locations.isEmpty()
-                || !notices.isEmpty()
+                || encoder.hasNotices()
                 || nowNanos - last.atNanos() >= UNCHANGED_PERIOD_MILLIS * NANOS_PER_MILLI
                 || publications.followerElection().hasChangedSince(last.atNanos())
-                || !loads.equals(last.loads());
+                || loads.isNews(last.loads());
         if (due) {
-            lastSent.put(receiver, new SentReport(loads, nowNanos));
+            lastSent.put(receivers, new SentReport(loads, nowNanos));
+        } else {
+            metrics.recordUnchanged();
         }
         return due;
     }
@@ -221,35 +239,46 @@
     private void reportByPlan(long nowNanos) {
         reporters.values().removeIf(lastReport -> nowNanos - lastReport > REPORT_TIMEOUT_MILLIS * NANOS_PER_MILLI);
         List<CachedPrefixes.PartLocation> locations = state.cachedPrefixes().drainUnreported();
-        Optional<String> assigned = plan.collector(excludedCollectors(nowNanos));
-        if (assigned.isPresent()) {
-            Map<Integer, PeerLoads.Load> own = state.workers().localLoads(nowNanos);
-            if (recordIfDue(ALL, own, locations, nowNanos)) {
-                send(assigned.get(), report(FleetProtos.LoadReport.Kind.OWN, own, "", locations, nowNanos));
+        String assigned = assignedCollector(nowNanos);
+        reportedRows = 0;
+        if (!assigned.isEmpty()) {
+            LoadColumns own = new LoadColumns(state.workers().localLoads(nowNanos));
+            reportedRows = own.rows();
+            if (recordIfDue(Receivers.ALL, own, locations, nowNanos)) {
+                send(assigned, encoder.encode(FleetProtos.LoadReport.Kind.OWN, "", own.encode(), locations));
             }
         }
         locations.addAll(reportedLocations);
         if (plan.isCollector()) {
-            Map<Integer, PeerLoads.Load> sum = state.workers().aggregatedLoads(nowNanos);
-            if (recordIfDue(COLLECTORS, sum, locations, nowNanos)) {
-                byte[] gathered = report(FleetProtos.LoadReport.Kind.GATHERED, sum, "", locations, nowNanos);
+            LoadColumns sum = new LoadColumns(state.workers().aggregatedLoads(nowNanos));
+            if (recordIfDue(Receivers.COLLECTORS, sum, locations, nowNanos)) {
+                byte[] gathered = encoder.encode(FleetProtos.LoadReport.Kind.GATHERED, "", sum.encode(), locations);
                 plan.otherCollectors().forEach(other -> send(other, gathered));
             }
         }
         locations.addAll(gatheredLocations);
-        for (String reporter : reporters.keySet()) {
-            Map<Integer, PeerLoads.Load> sum = state.workers().loadsExcluding(reporter, nowNanos);
-            if (recordIfDue(reporter, sum, locations, nowNanos)) {
-                send(reporter, report(FleetProtos.LoadReport.Kind.OTHERS, sum, reporter, locations, nowNanos));
-            }
+        if (!reporters.isEmpty()) {
+            reportToReporters(locations, nowNanos);
         }
-        lastSent.keySet().removeIf(receiver -> !reporters.containsKey(receiver) && !RECEIVER_GROUPS.contains(receiver));
         reportedLocations.clear();
         gatheredLocations.clear();
     }
 
-    /** Returns the collectors to exclude for now. Excludes the assigned one if its reports have stopped. */
-    private Set<String> excludedCollectors(long nowNanos) {
+    /** Sends each reporter the loads of all others: the same sums, except for the workers that the reporter uses. */
+    private void reportToReporters(List<CachedPrefixes.PartLocation> locations, long nowNanos) {
+        LoadColumns all = new LoadColumns(state.workers().collectedLoads().all(nowNanos));
+        reportedRows = all.rows();
+        if (!recordIfDue(Receivers.REPORTERS, all, locations, nowNanos)) {
+            return;
+        }
+        for (String reporter : reporters.keySet()) {
+            byte[] rest = all.encode(state.workers().collectedLoads().changesExcluding(reporter, nowNanos));
+            send(reporter, encoder.encode(FleetProtos.LoadReport.Kind.OTHERS, reporter, rest, locations));
+        }
+    }
+
+    /** Returns the collector to report to, or "" if there is none. Passes over one whose reports have stopped. */
+    private String assignedCollector(long nowNanos) {
         excludedCollectors.values().removeIf(since -> nowNanos - since > EXCLUSION_MILLIS * NANOS_PER_MILLI);
         String assigned = plan.collector(excludedCollectors.keySet()).orElse("");
         if (!assigned.equals(collector)) {
@@ -259,80 +288,51 @@
                 && nowNanos - lastCollectorReportNanos > REPORT_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
             LOG.infof("collector %s says nothing, reporting to another one", assigned);
             excludedCollectors.put(assigned, nowNanos);
+            return plan.collector(excludedCollectors.keySet()).orElse("");
         }
-        return new HashSet<>(excludedCollectors.keySet());
+        return assigned;
     }
 
     private void send(String name, byte[] report) {
-        plannedView.stream().filter(member -> member.name().equals(name)).forEach(member -> send(member, report));
+        Member member = membersByName.get(name);
+        if (member != null) {
+            send(member, report);
+        }
     }
 
     private void send(Member member, byte[] report) {
+        metrics.recordSent(report.length);
         FleetMessages.send(transport, member, LOADS, report);
     }
 
-    private byte[] report(
-            FleetProtos.LoadReport.Kind kind,
-            Map<Integer, PeerLoads.Load> loads,
-            String receiver,
-            List<CachedPrefixes.PartLocation> locations,
-            long nowNanos) {
-        FleetProtos.LoadReport.Builder report = FleetProtos.LoadReport.newBuilder()
-                .setKind(kind)
-                .setRevision(publications.position().revision())
-                .setEra(publications.position().era())
-                .setWorkers(LoadCodec.encode(loads));
-        for (StoreFollowerElection.Follower follower :
-                publications.followerElection().followers(nowNanos)) {
-            report.addFollowers(follower.id())
-                    .addFollowerAnswers(follower.answer())
-                    .addFollowerMillis((int) follower.ageMillis());
-        }
-        if (!notices.crashes().isEmpty()) {
-            report.setCrashes(CrashNoticeCodec.encode(notices.crashes()));
-        }
-        if (!notices.limits().isEmpty()) {
-            report.setLimits(LimitNoticeCodec.encode(notices.limits()));
-        }
-        locations.forEach(location -> report.addParts(location.part()).addPartWorkers(location.worker()));
-        state.enginePartitions().forEach((upstream, partition) -> {
-            LatencyClassWork work =
-                    switch (kind) {
-                        case GATHERED -> partition.reportersWork();
-                        case OTHERS -> partition.workExcluding(receiver);
-                        default -> partition.localWork();
-                    };
-            report.addUpstreams(FleetProtos.UpstreamWork.newBuilder()
-                    .setUpstream(upstream)
-                    .addAllMillisByPace(
-                            Arrays.stream(work.millis()).mapToObj(Math::round).toList()));
-        });
-        return report.build().toByteArray();
-    }
-
     private void receive(String peer, byte[] body) {
         long nowNanos = loop.nowNanos();
+        metrics.recordReceived(body.length);
         FleetProtos.LoadReport report;
         Map<Integer, PeerLoads.Load> loads;
-        Notices received;
+        List<CrashNotice> crashes;
+        List<LimitNotice> limits;
         try {
             report = FleetProtos.LoadReport.parseFrom(body);
             loads = LoadCodec.decode(report.getWorkers());
-            received = new Notices(
-                    CrashNoticeCodec.decode(report.getCrashes()), LimitNoticeCodec.decode(report.getLimits()));
+            crashes = CrashNoticeCodec.decode(report.getCrashes());
+            limits = LimitNoticeCodec.decode(report.getLimits());
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             LOG.warnf(e, "load report of %s can't be read, the report is ignored", peer);
             return;
         }
         PeerLoads.Scope scope = scope(report.getKind());
         if (scope == PeerLoads.Scope.OWN) {
-            reporters.put(peer, nowNanos);
+            if (reporters.put(peer, nowNanos) == null) {
+                // A new reporter gets a report in the next period, also if nothing has changed.
+                lastSent.remove(Receivers.REPORTERS);
+            }
         } else if (scope == PeerLoads.Scope.OTHERS && peer.equals(collector)) {
             lastCollectorReportNanos = nowNanos;
         }
         state.workers().recordPeerLoads(peer, scope, loads, nowNanos);
-        received.crashes().forEach(crash -> state.applyCrashNotice(crash, nowNanos));
-        received.limits().forEach(limit -> state.applyLimitNotice(limit, peer, nowNanos));
+        crashes.forEach(crash -> state.applyCrashNotice(crash, nowNanos));
+        limits.forEach(limit -> state.applyLimitNotice(limit, peer, nowNanos));
         recordWork(peer, scope, report, nowNanos);
         recordLocations(scope, report, nowNanos);
         recordFollowers(report, nowNanos);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/LoadCodec.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/LoadCodec.java
@@ -9,7 +9,7 @@
 /** Encodes loads of workers as columns of a message, and decodes them. */
 final class LoadCodec {
     /** Decayed counts are transmitted as integers, in tenths. */
-    private static final double UNITS_PER_OUTCOME = 10;
+    static final double UNITS_PER_OUTCOME = 10;
 
     private LoadCodec() {}
 
@@ -39,7 +39,7 @@
             throw new IllegalArgumentException(
                     "columns differ in length, expected " + count + " values (one per worker)");
         }
-        Map<Integer, PeerLoads.Load> loads = new HashMap<>();
+        Map<Integer, PeerLoads.Load> loads = new HashMap<>(2 * count);
         for (int i = 0; i < count; i++) {
             PeerLoads.Load load = new PeerLoads.Load(
                     columns.getInFlight(i),
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ReportEncoder.java
@@ -0,0 +1,115 @@
+package org.dotterelcourse.gateway.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+
+import com.google.protobuf.CodedOutputStream;
+import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
+import org.dotterelcourse.gateway.published.Publications;
+import org.dotterelcourse.gateway.published.StoreFollowerElection;
+import org.dotterelcourse.policy.quarantine.CrashNotice;
+import org.dotterelcourse.policy.rate.LimitNotice;
+import org.dotterelcourse.policy.selection.CachedPrefixes;
+import org.dotterelcourse.policy.selection.LatencyClassWork;
+
+/**
+ * Encodes the load reports of one period. What all receivers get is encoded once; a report is the concatenation of that and
+ * of its own fields, as Protocol Buffers allow.
+ */
+final class ReportEncoder {
+    private static final int LENGTH_DELIMITED = 2;
+
+    private final GatewayState state;
+    private final Publications publications;
+    private byte[] common = {};
+    private boolean hasNotices;
+
+    ReportEncoder(GatewayState state, Publications publications) {
+        this.state = state;
+        this.publications = publications;
+    }
+
+    /** Takes the notices that are due and encodes what all reports of this period have in common. */
+    void beginPeriod(long nowNanos) {
+        List<CrashNotice> crashes = state.quarantine().takeNotices(nowNanos);
+        List<LimitNotice> limits = state.workers().limits().takeNotices(nowNanos);
+        hasNotices = !crashes.isEmpty() || !limits.isEmpty();
+        FleetProtos.LoadReport.Builder report = FleetProtos.LoadReport.newBuilder()
+                .setRevision(publications.position().revision())
+                .setEra(publications.position().era());
+        for (StoreFollowerElection.Follower follower :
+                publications.followerElection().followers(nowNanos)) {
+            report.addFollowers(follower.id())
+                    .addFollowerAnswers(follower.answer())
+                    .addFollowerMillis((int) follower.ageMillis());
+        }
+        if (!crashes.isEmpty()) {
+            report.setCrashes(CrashNoticeCodec.encode(crashes));
+        }
+        if (!limits.isEmpty()) {
+            report.setLimits(LimitNoticeCodec.encode(limits));
+        }
+        common = report.build().toByteArray();
+    }
+
+    /** Returns whether the reports of this period contain notices, and must therefore be sent. */
+    boolean hasNotices() {
+        return hasNotices;
+    }
+
+    /**
+     * Encodes one report of this period.
+     *
+     * @param kind what the loads and the work of the report cover
+     * @param receiver the process that is left out of a report of the kind {@code OTHERS}, otherwise not used
+     * @param workers an encoded {@code WorkerLoads} message
+     * @param locations locations of prompt parts to report
+     */
+    byte[] encode(
+            FleetProtos.LoadReport.Kind kind,
+            String receiver,
+            byte[] workers,
+            List<CachedPrefixes.PartLocation> locations) {
+        FleetProtos.LoadReport.Builder report =
+                FleetProtos.LoadReport.newBuilder().setKind(kind);
+        for (CachedPrefixes.PartLocation location : locations) {
+            report.addParts(location.part()).addPartWorkers(location.worker());
+        }
+        state.enginePartitions().forEach((upstream, partition) -> {
+            LatencyClassWork work =
+                    switch (kind) {
+                        case GATHERED -> partition.reportersWork();
+                        case OTHERS -> partition.workExcluding(receiver);
+                        default -> partition.localWork();
+                    };
+            FleetProtos.UpstreamWork.Builder millis =
+                    FleetProtos.UpstreamWork.newBuilder().setUpstream(upstream);
+            for (double each : work.millis()) {
+                millis.addMillisByPace(Math.round(each));
+            }
+            report.addUpstreams(millis);
+        });
+        return concatenate(common, report.build(), workers);
+    }
+
+    /** Concatenates encoded common fields, the fields of one report and its encoded {@code WorkerLoads} message. */
+    static byte[] concatenate(byte[] common, FleetProtos.LoadReport report, byte[] workers) {
+        ByteArrayOutputStream bytes =
+                new ByteArrayOutputStream(common.length + report.getSerializedSize() + workers.length + Long.BYTES);
+        try {
+            bytes.write(common);
+            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+            report.writeTo(out);
+            out.writeTag(FleetProtos.LoadReport.WORKERS_FIELD_NUMBER, LENGTH_DELIMITED);
+            out.writeUInt32NoTag(workers.length);
+            out.writeRawBytes(workers);
+            out.flush();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/PeerLoads.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/PeerLoads.java
@@ -13,6 +13,9 @@
 
     private final Map<String, Report> byPeer = new HashMap<>();
 
+    /** Sum of all reports; null after one has arrived or expired. */
+    private Map<Integer, Load> total;
+
     /**
      * Load and recent outcomes of one worker, as seen by one or more processes.
      *
@@ -61,17 +64,49 @@
             // The sums of a new collector and of its predecessor cover the same requests.
             byPeer.values().removeIf(report -> report.scope() == Scope.OTHERS);
         }
+        total = null;
         byPeer.put(peer, new Report(scope, loads, nowNanos));
     }
 
     /**
-     * Sums the unexpired reports of all peers.
+     * Sums the unexpired reports of all peers. The sum is kept until a report arrives or expires.
      *
      * @param nowNanos current monotonic time in nanoseconds
-     * @return the sums, by incarnation of the worker
+     * @return the sums, by incarnation of the worker; must not be modified
      */
     public Map<Integer, Load> total(long nowNanos) {
-        return sum(nowNanos, "", false);
+        removeExpired(nowNanos);
+        if (total == null) {
+            // A process that is not a collector gets the report of its collector alone.
+            total = byPeer.size() == 1 ? byPeer.values().iterator().next().loads() : sum("", false);
+        }
+        return total;
+    }
+
+    /**
+     * Returns the rows of {@link #total} that change if the report of one peer is left out.
+     *
+     * @param peer name of the peer
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return the sums of the other reports, for each worker in the report of the peer; {@link Load#NONE} for a worker in
+     *     no other report
+     */
+    public Map<Integer, Load> changesExcluding(String peer, long nowNanos) {
+        removeExpired(nowNanos);
+        Report excluded = byPeer.get(peer);
+        if (excluded == null) {
+            return Map.of();
+        }
+        Map<Integer, Load> changes = new HashMap<>();
+        for (Integer worker : excluded.loads().keySet()) {
+            Load sum = Load.NONE;
+            for (Report report : byPeer.values()) {
+                Load load = report == excluded ? null : report.loads().get(worker);
+                sum = load == null ? sum : sum.plus(load);
+            }
+            changes.put(worker, sum);
+        }
+        return changes;
     }
 
     /**
@@ -81,7 +116,8 @@
      * @return the sums, by incarnation of the worker
      */
     public Map<Integer, Load> totalOfReporters(long nowNanos) {
-        return sum(nowNanos, "", true);
+        removeExpired(nowNanos);
+        return sum("", true);
     }
 
     /**
@@ -92,11 +128,17 @@
      * @return the sums, by incarnation of the worker
      */
     public Map<Integer, Load> totalExcluding(String peer, long nowNanos) {
-        return sum(nowNanos, peer, false);
+        removeExpired(nowNanos);
+        return sum(peer, false);
+    }
+
+    private void removeExpired(long nowNanos) {
+        if (byPeer.values().removeIf(report -> nowNanos - report.atNanos() > REPORT_TTL_NANOS)) {
+            total = null;
+        }
     }
 
-    private Map<Integer, Load> sum(long nowNanos, String excludedPeer, boolean ownOnly) {
-        byPeer.values().removeIf(report -> nowNanos - report.atNanos() > REPORT_TTL_NANOS);
+    private Map<Integer, Load> sum(String excludedPeer, boolean ownOnly) {
         Map<Integer, Load> sums = new HashMap<>();
         byPeer.forEach((peer, report) -> {
             if (!peer.equals(excludedPeer) && (!ownOnly || report.scope() == Scope.OWN)) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerIndex.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerIndex.java
@@ -19,6 +19,7 @@
     private final Map<String, List<WorkerState>> eligibleByUpstream = new HashMap<>();
     private Predicate<String> upstreamExists = upstream -> true;
     private boolean valid;
+    private long rebuilds;
 
     /**
      * Creates an index.
@@ -61,7 +62,12 @@
         return eligibleByUpstream.getOrDefault(upstream, List.of());
     }
 
+    long rebuilds() {
+        return rebuilds;
+    }
+
     private void rebuild() {
+        rebuilds++;
         Map<String, WorkerState> latest = latestByAddress();
         eligibleByUpstream.clear();
         for (WorkerState worker : workers) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -18,6 +18,9 @@
  * gateway's event loop only.
  */
 public final class WorkerState {
+    /** Decayed number of outcomes up to which they are not reported, since they no longer influence any decision. */
+    private static final double MIN_REPORTED_OUTCOMES = 0.3;
+
     private final LocalSuspicion localSuspicion = new LocalSuspicion();
     private final RecentOutcomes outcomes = new RecentOutcomes();
     private final SharedSuspicion sharedSuspicion = new SharedSuspicion();
@@ -94,6 +97,12 @@
         return outcomes;
     }
 
+    /** Returns whether this process has something to report: requests in flight, or more than hardly any outcomes. */
+    boolean hasLocalLoad(long nowNanos) {
+        return inFlight > 0
+                || outcomes.recentSuccesses(nowNanos) + outcomes.recentFailures(nowNanos) > MIN_REPORTED_OUTCOMES;
+    }
+
     PeerLoads.Load localLoad(long nowNanos) {
         return new PeerLoads.Load(
                 inFlight,
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -29,9 +29,6 @@
      */
     private static final double MAX_SUSPECTED_FRACTION = 0.34;
 
-    /** Decayed number of outcomes up to which they are not reported, since they no longer influence any decision. */
-    private static final double MIN_REPORTED_OUTCOMES = 0.3;
-
     /** Interval at which the sums are recomputed without new reports, so that reports of silent peers expire. */
     private static final long REFRESH_INTERVAL_NANOS = 500_000_000L;
 
@@ -49,7 +46,9 @@
     private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
     private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible);
     private int indexedLeavingWorkers;
+    private final CollectedLoads collectedLoads = new CollectedLoads(peerLoads, this);
     private long nextSequence;
+    private long selections;
 
     /**
      * Adds a worker or updates its entry. If the worker has restarted under its name, its previous state is discarded,
@@ -171,6 +170,7 @@
      * @return the loads of the workers, including those of peers, in the order of {@link WorkerRanking}
      */
     public List<WorkerLoad> candidates(String upstream, Set<String> excluded, long nowNanos) {
+        selections++;
         refreshPeerLoads(nowNanos);
         List<WorkerState> serving = eligible(upstream);
         int suspects = 0;
@@ -188,6 +188,24 @@
         return loads;
     }
 
+    /**
+     * Returns how often candidates for a request were collected.
+     *
+     * @return the number since the start of the process
+     */
+    public long selections() {
+        return selections;
+    }
+
+    /**
+     * Returns how often the index of the eligible workers was rebuilt.
+     *
+     * @return the number since the start of the process
+     */
+    public long indexRebuilds() {
+        return index.rebuilds();
+    }
+
     private SendPermission sendPermission(WorkerState worker, ColdStart coldStart, long nowNanos) {
         if (backoffs.remainingMillis(worker.incarnation(), nowNanos) > 0) {
             return SendPermission.BACKING_OFF;
@@ -305,8 +323,9 @@
         sumsOutdated = false;
         refreshedNanos = nowNanos;
         Map<Integer, PeerLoads.Load> sums = peerLoads.total(nowNanos);
-        byId.values()
-                .forEach(worker -> worker.updatePeerLoad(sums.getOrDefault(worker.incarnation(), PeerLoads.Load.NONE)));
+        for (WorkerState worker : byId.values()) {
+            worker.updatePeerLoad(sums.getOrDefault(worker.incarnation(), PeerLoads.Load.NONE));
+        }
     }
 
     /**
@@ -318,15 +337,23 @@
      */
     public Map<Integer, PeerLoads.Load> localLoads(long nowNanos) {
         Map<Integer, PeerLoads.Load> loads = new HashMap<>();
-        byId.values().forEach(worker -> {
-            PeerLoads.Load load = worker.localLoad(nowNanos);
-            if (load.inFlight() > 0 || load.succeeded() + load.failed() > MIN_REPORTED_OUTCOMES) {
-                loads.put(worker.incarnation(), load);
+        for (WorkerState worker : byId.values()) {
+            if (worker.hasLocalLoad(nowNanos)) {
+                loads.put(worker.incarnation(), worker.localLoad(nowNanos));
             }
-        });
+        }
         return loads;
     }
 
+    /**
+     * Returns the loads that this process reports as a collector.
+     *
+     * @return a view of the loads of all processes
+     */
+    public CollectedLoads collectedLoads() {
+        return collectedLoads;
+    }
+
     /**
      * Returns the loads caused by this process and those that report to it, for reports to other collectors.
      *
