Report loads when the collector's sums arrive; report a new position

Cause: a process with a collector woke twice a period, for its own timer and for the collector's sums, and most of its processor time without requests is spent on waking. And since decayed outcomes are no longer news, a higher position in the store could wait 500 ms for the next report.

Change: ReportSchedule sends the report as sums arrive, and by timer at multiples of the period while they fail to arrive within one and a half periods. A report is due when the position has changed.

Ruled out: a timer that checks every period whether the sums have come, since it wakes the process as well.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -22,14 +22,14 @@
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.published.Publications;
-import org.dotterelcourse.gateway.published.StoreFollowerElection;
 import org.dotterelcourse.gateway.published.StorePosition;
 import org.dotterelcourse.gateway.workers.PeerLoads;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.rate.LimitNotice;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
-import org.dotterelcourse.policy.selection.LatencyClassWork;
 import org.jboss.logging.Logger;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
 
 /**
  * Exchanges load reports with peers, which also carry notices about workers and the state of store followers. In a
@@ -70,12 +70,6 @@
     /** How long an unresponsive collector is excluded. By then, membership has detected whether it is dead. */
     private static final long EXCLUSION_MILLIS = 5_000;
 
-    /**
-     * Sender name under which the work reported by this process's collector is recorded, so that the sums of a new
-     * collector replace those of its predecessor.
-     */
-    private static final String ANY_COLLECTOR = "";
-
     /**
      * Workers in a report up to which its period is {@link #COLLECTED_PERIOD_MILLIS}. With more, the period grows in
      * proportion, so that collectors convert the same number of rows a second in any fleet, at most to {@link
@@ -117,12 +111,15 @@
     private long lastCollectorReportNanos;
     private final Map<Receivers, SentReport> lastSent = new EnumMap<>(Receivers.class);
     private final Map<String, Member> membersByName = new HashMap<>();
+    private final ReportSchedule schedule = new ReportSchedule(COLLECTED_PERIOD_MILLIS * NANOS_PER_MILLI);
+    private Disposable timer = Disposables.disposed();
+    private ReportedStatistics statistics;
     private ReportEncoder encoder;
     private ExchangeMetrics metrics;
     private int reportedRows;
 
-    /** The loads last sent to a group of receivers, with the time of the report. */
-    private record SentReport(LoadColumns loads, long atNanos) {}
+    /** The loads and the position last sent to a group of receivers, with the time of the report. */
+    private record SentReport(LoadColumns loads, StorePosition position, long atNanos) {}
 
     @Override
     public ServiceName<FleetExchange> name() {
@@ -149,6 +146,7 @@
         peers = kernel.find(Peers.NAME);
         transport = peers.transport();
         encoder = new ReportEncoder(state, publications);
+        statistics = new ReportedStatistics(state, publications);
         metrics = new ExchangeMetrics(kernel.find(GatewayMetrics.NAME).registry(), state.workers());
         transport.registerHandler(
                 LOADS, message -> loop.execute(() -> receive(message.sender().name(), message.body())));
@@ -189,8 +187,17 @@
         } else {
             reportByPlan(nowNanos);
         }
-        long period = Math.max(MIN_DIRECT_PERIOD_MILLIS, DIRECT_PERIOD_MILLIS_PER_PEER * others.size());
-        loop.runAtNextMultiple(plan.isDirect() ? period : collectedPeriodMillis(reportedRows), this::sendReports);
+        schedule.recordSent(nowNanos);
+        if (isReporterOnly()) {
+            timer = loop.runAfterUnlessDisposed(schedule.delayNanos(nowNanos), this::sendReports);
+        } else {
+            long period = Math.max(MIN_DIRECT_PERIOD_MILLIS, DIRECT_PERIOD_MILLIS_PER_PEER * others.size());
+            loop.runAtNextMultiple(plan.isDirect() ? period : collectedPeriodMillis(reportedRows), this::sendReports);
+        }
+    }
+
+    private boolean isReporterOnly() {
+        return !plan.isDirect() && !plan.isCollector() && reporters.isEmpty();
     }
 
     /** Returns the report period in a fleet with collectors, for reports with the given number of workers. */
@@ -227,9 +234,10 @@
                 || encoder.hasNotices()
                 || nowNanos - last.atNanos() >= UNCHANGED_PERIOD_MILLIS * NANOS_PER_MILLI
                 || publications.followerElection().hasChangedSince(last.atNanos())
+                || !publications.position().equals(last.position())
                 || loads.isNews(last.loads());
         if (due) {
-            lastSent.put(receivers, new SentReport(loads, nowNanos));
+            lastSent.put(receivers, new SentReport(loads, publications.position(), nowNanos));
         } else {
             metrics.recordUnchanged();
         }
@@ -333,10 +341,17 @@
         state.workers().recordPeerLoads(peer, scope, loads, nowNanos);
         crashes.forEach(crash -> state.applyCrashNotice(crash, nowNanos));
         limits.forEach(limit -> state.applyLimitNotice(limit, peer, nowNanos));
-        recordWork(peer, scope, report, nowNanos);
+        statistics.recordWork(peer, scope, report, nowNanos);
         recordLocations(scope, report, nowNanos);
-        recordFollowers(report, nowNanos);
+        statistics.recordFollowers(report, nowNanos);
         relay.recordPeerPosition(peer, new StorePosition(report.getEra(), report.getRevision()));
+        if (scope == PeerLoads.Scope.OTHERS && peer.equals(collector)) {
+            schedule.recordSums(nowNanos);
+            if (!timer.isDisposed() && schedule.isDueOnSums(nowNanos)) {
+                timer.dispose();
+                sendReports();
+            }
+        }
     }
 
     private static PeerLoads.Scope scope(FleetProtos.LoadReport.Kind kind) {
@@ -347,20 +362,6 @@
         };
     }
 
-    private void recordWork(String peer, PeerLoads.Scope scope, FleetProtos.LoadReport report, long nowNanos) {
-        for (FleetProtos.UpstreamWork work : report.getUpstreamsList()) {
-            double[] millis = work.getMillisByPaceList().stream()
-                    .mapToDouble(Long::doubleValue)
-                    .toArray();
-            if (millis.length == LatencyClassWork.none().millis().length) {
-                boolean ownOnly = scope == PeerLoads.Scope.OWN;
-                String sender = scope == PeerLoads.Scope.OTHERS ? ANY_COLLECTOR : peer;
-                state.enginePartition(work.getUpstream())
-                        .recordPeerWork(sender, ownOnly, new LatencyClassWork(millis), nowNanos);
-            }
-        }
-    }
-
     private void recordLocations(PeerLoads.Scope scope, FleetProtos.LoadReport report, long nowNanos) {
         boolean direct = plan == null || plan.isDirect();
         int count = Math.min(report.getPartsCount(), report.getPartWorkersCount());
@@ -376,17 +377,6 @@
         }
     }
 
-    private void recordFollowers(FleetProtos.LoadReport report, long nowNanos) {
-        int count = Math.min(
-                report.getFollowersCount(),
-                Math.min(report.getFollowerAnswersCount(), report.getFollowerMillisCount()));
-        for (int i = 0; i < count; i++) {
-            StoreFollowerElection.Follower follower = new StoreFollowerElection.Follower(
-                    report.getFollowers(i), report.getFollowerAnswers(i), report.getFollowerMillis(i));
-            publications.followerElection().recordFollower(follower, nowNanos);
-        }
-    }
-
     /**
      * Returns a hash that identifies a process in reports. Shorter than the name, as reports are sent ten times a
      * second.
