Report at the shared timer again

Cause: strace of a process among 14 shows that the timer wakes it every 100 ms all the same, for the tick of membership and the check whether it must follow the store. Reporting as the collector's sums arrive thus saved no wake-up.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayLoop.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayLoop.java
@@ -1,7 +1,6 @@
 package org.dotterelcourse.gateway;
 
 import java.util.List;
-import java.util.concurrent.Future;
 import java.util.concurrent.PriorityBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -11,7 +10,6 @@
 import org.dotterelcourse.daemon.kernel.ServiceName;
 import org.dotterelcourse.daemon.kernel.StartupFailure;
 import org.jboss.logging.Logger;
-import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.resources.LoopResources;
@@ -116,18 +114,7 @@
         schedule(task, TimeUnit.MILLISECONDS.toNanos(delayMillis));
     }
 
-    /**
-     * Runs a task once after a delay, unless the timer is disposed before. Must be called on the loop.
-     *
-     * @param delayNanos the delay in nanoseconds
-     * @param task must not block; exceptions are logged
-     * @return the timer, to be disposed on the loop; reports that it is disposed after the task has started as well
-     */
-    public Disposable runAfterUnlessDisposed(long delayNanos, Runnable task) {
-        return schedule(task, delayNanos);
-    }
-
-    private Disposable schedule(Runnable task, long delayNanos) {
+    private void schedule(Runnable task, long delayNanos) {
         long dueNanos = nowNanos() + delayNanos;
         dueTimes.add(dueNanos);
         Runnable safeTask = logExceptions(task);
@@ -135,29 +122,7 @@
             recordLag(dueNanos);
             safeTask.run();
         };
-        return new Timer(loop.schedule(timedTask, delayNanos, TimeUnit.NANOSECONDS), dueNanos);
-    }
-
-    private final class Timer implements Disposable {
-        private final Future<?> future;
-        private final long dueNanos;
-
-        Timer(Future<?> future, long dueNanos) {
-            this.future = future;
-            this.dueNanos = dueNanos;
-        }
-
-        @Override
-        public void dispose() {
-            if (future.cancel(false)) {
-                dueTimes.remove(dueNanos);
-            }
-        }
-
-        @Override
-        public boolean isDisposed() {
-            return future.isDone();
-        }
+        loop.schedule(timedTask, delayNanos, TimeUnit.NANOSECONDS);
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -28,8 +28,6 @@
 import org.dotterelcourse.policy.rate.LimitNotice;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.jboss.logging.Logger;
-import reactor.core.Disposable;
-import reactor.core.Disposables;
 
 /**
  * Exchanges load reports with peers, which also carry notices about workers and the state of store followers. In a
@@ -111,8 +109,6 @@
     private long lastCollectorReportNanos;
     private final Map<Receivers, SentReport> lastSent = new EnumMap<>(Receivers.class);
     private final Map<String, Member> membersByName = new HashMap<>();
-    private final ReportSchedule schedule = new ReportSchedule(COLLECTED_PERIOD_MILLIS * NANOS_PER_MILLI);
-    private Disposable timer = Disposables.disposed();
     private ReportedStatistics statistics;
     private ReportEncoder encoder;
     private ExchangeMetrics metrics;
@@ -187,17 +183,8 @@
         } else {
             reportByPlan(nowNanos);
         }
-        schedule.recordSent(nowNanos);
-        if (isReporterOnly()) {
-            timer = loop.runAfterUnlessDisposed(schedule.delayNanos(nowNanos), this::sendReports);
-        } else {
-            long period = Math.max(MIN_DIRECT_PERIOD_MILLIS, DIRECT_PERIOD_MILLIS_PER_PEER * others.size());
-            loop.runAtNextMultiple(plan.isDirect() ? period : collectedPeriodMillis(reportedRows), this::sendReports);
-        }
-    }
-
-    private boolean isReporterOnly() {
-        return !plan.isDirect() && !plan.isCollector() && reporters.isEmpty();
+        long period = Math.max(MIN_DIRECT_PERIOD_MILLIS, DIRECT_PERIOD_MILLIS_PER_PEER * others.size());
+        loop.runAtNextMultiple(plan.isDirect() ? period : collectedPeriodMillis(reportedRows), this::sendReports);
     }
 
     /** Returns the report period in a fleet with collectors, for reports with the given number of workers. */
@@ -345,13 +332,6 @@
         recordLocations(scope, report, nowNanos);
         statistics.recordFollowers(report, nowNanos);
         relay.recordPeerPosition(peer, new StorePosition(report.getEra(), report.getRevision()));
-        if (scope == PeerLoads.Scope.OTHERS && peer.equals(collector)) {
-            schedule.recordSums(nowNanos);
-            if (!timer.isDisposed() && schedule.isDueOnSums(nowNanos)) {
-                timer.dispose();
-                sendReports();
-            }
-        }
     }
 
     private static PeerLoads.Scope scope(FleetProtos.LoadReport.Kind kind) {
