--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param name the VM's name, unique in the fleet
  * @param dataCentre the data centre of the VM
  * @param region the region of the VM
+ * @param capacityCores the processor capacity of the VM in cores; 0 if unknown
  * @param grace the grace period after SIGTERM within which the process must end
  * @param clients the listen address for client requests
  * @param readiness the listen address of the readiness endpoint
@@ -18,15 +19,19 @@
  * @param metrics the listen address of the metrics endpoint; empty if it is disabled
  * @param store the address of the platform's store
  * @param changesWithin the maximum time until a published change is in force on every process
+ * @param configurationUpdate how a published configuration is taken over
  * @param seeds the addresses of the peers contacted first to join the cluster
  * @param repeatRatio the retry budget of an upstream, in retries per request
  * @param repeatExtra retries allowed across the whole fleet in each window in addition to {@code repeatRatio}
  * @param repeatWindow the length of the window over which retries are counted
+ * @param measuredSpeeds whether workers are selected by their measured speeds
+ * @param separateStreams whether interactive streams with long prompts are kept from those with shorter gap targets
  */
 public record GatewaySettings(
         String name,
         String dataCentre,
         String region,
+        double capacityCores,
         Duration grace,
         String clients,
         String readiness,
@@ -35,10 +40,13 @@
         String metrics,
         String store,
         Duration changesWithin,
+        ConfigurationUpdate configurationUpdate,
         List<String> seeds,
         double repeatRatio,
         double repeatExtra,
-        Duration repeatWindow) {
+        Duration repeatWindow,
+        boolean measuredSpeeds,
+        boolean separateStreams) {
     /**
      * Creates a builder.
      *
@@ -53,6 +61,7 @@
         private String name;
         private String dataCentre;
         private String region;
+        private double capacityCores;
         private Duration grace;
         private String clients;
         private String readiness;
@@ -61,10 +70,13 @@
         private String metrics = "";
         private String store;
         private Duration changesWithin;
+        private ConfigurationUpdate configurationUpdate = ConfigurationUpdate.DEFAULT;
         private List<String> seeds = List.of();
         private double repeatRatio;
         private double repeatExtra;
         private Duration repeatWindow;
+        private boolean measuredSpeeds = true;
+        private boolean separateStreams = true;
 
         private Builder() {}
 
@@ -101,6 +113,17 @@
             return this;
         }
 
+        /**
+         * Sets the processor capacity of the VM in cores.
+         *
+         * @param value the capacity; 0 if unknown
+         * @return this builder
+         */
+        public Builder capacityCores(double value) {
+            capacityCores = value;
+            return this;
+        }
+
         /**
          * Sets the grace period after SIGTERM within which the process must end.
          *
@@ -189,6 +212,17 @@
             return this;
         }
 
+        /**
+         * Sets how a published configuration is taken over. The default is {@link ConfigurationUpdate#DEFAULT}.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder configurationUpdate(ConfigurationUpdate value) {
+            configurationUpdate = value;
+            return this;
+        }
+
         /**
          * Sets the addresses of the peers contacted first to join the cluster.
          *
@@ -233,6 +267,28 @@
             return this;
         }
 
+        /**
+         * Sets whether workers are selected by their measured speeds; true by default.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder measuredSpeeds(boolean value) {
+            measuredSpeeds = value;
+            return this;
+        }
+
+        /**
+         * Sets whether interactive streams with long prompts are kept from those with shorter gap targets; true by default.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder separateStreams(boolean value) {
+            separateStreams = value;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
@@ -243,6 +299,7 @@
                     name,
                     dataCentre,
                     region,
+                    capacityCores,
                     grace,
                     clients,
                     readiness,
@@ -251,10 +308,13 @@
                     metrics,
                     store,
                     changesWithin,
+                    configurationUpdate,
                     seeds,
                     repeatRatio,
                     repeatExtra,
-                    repeatWindow);
+                    repeatWindow,
+                    measuredSpeeds,
+                    separateStreams);
         }
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -14,6 +14,7 @@
 import org.dotterelcourse.daemon.kernel.StartupFailure;
 import org.dotterelcourse.gateway.routing.RoutingTable;
 import org.dotterelcourse.gateway.workers.WorkerEntry;
+import org.dotterelcourse.gateway.workers.WorkerTimings;
 import org.dotterelcourse.gateway.workers.Workers;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.RequestQuarantine;
@@ -23,6 +24,7 @@
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.EngineModel;
 import org.dotterelcourse.policy.selection.EnginePartition;
+import org.dotterelcourse.policy.selection.GapClassifier;
 
 /**
  * The gateway's view of the platform and the fleet: the active routing table, the workers, the retry budgets, and the
@@ -37,12 +39,15 @@
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, EnginePartition> enginePartitions = new HashMap<>();
     private final Map<String, EngineModel> engineModels = new HashMap<>();
+    private final Map<String, GapClassifier> gapClassifiers = new HashMap<>();
     private final RequestQuarantine quarantine = new RequestQuarantine();
     private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
+    private final WorkerTimings timings = new WorkerTimings(workers);
     private final RetryLimit retryLimit;
     private AuditTrail audit;
     private volatile RoutingTable table;
     private volatile boolean workersLoaded;
+    private boolean separateStreams = true;
     private int maxProcesses = 1;
     private int reachableProcesses = 1;
 
@@ -173,6 +178,15 @@
         return workers;
     }
 
+    /**
+     * Returns the durations measured at the workers, and their speeds.
+     *
+     * @return the timings of the workers of all upstreams
+     */
+    public WorkerTimings timings() {
+        return timings;
+    }
+
     /**
      * Returns the retry budget of an upstream.
      *
@@ -208,6 +222,37 @@
         return engineModels.computeIfAbsent(upstream, name -> new EngineModel());
     }
 
+    /**
+     * Sets whether interactive streams with long prompts are kept from those with shorter gap targets. Must be called before
+     * the first request.
+     *
+     * @param value false to classify streams by their targets alone; the default is true
+     */
+    public void setSeparateStreams(boolean value) {
+        separateStreams = value;
+    }
+
+    /**
+     * Updates the speeds of the workers from the measured durations, if an update is due.
+     *
+     * @param nowNanos current monotonic time in nanoseconds
+     */
+    public void updateTimings(long nowNanos) {
+        for (WorkerTimings.SpeedChange change : timings.updateIfDue(nowNanos)) {
+            audit.add(AuditEvent.Kind.PERFORMANCE, change.worker(), "measured", change.before(), change.after());
+        }
+    }
+
+    /**
+     * Returns what determines the latency classes of the streams of an upstream.
+     *
+     * @param upstream name of the upstream
+     * @return its classifier, created on first use
+     */
+    public GapClassifier gapClassifier(String upstream) {
+        return gapClassifiers.computeIfAbsent(upstream, name -> new GapClassifier(separateStreams));
+    }
+
     /**
      * Returns which parts of prompts are probably cached at which workers.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -22,6 +22,7 @@
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.published.Publications;
+import org.dotterelcourse.gateway.published.StoreFollowerElection;
 import org.dotterelcourse.gateway.published.StorePosition;
 import org.dotterelcourse.gateway.workers.PeerLoads;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
@@ -95,6 +96,7 @@
     private GatewayState state;
     private Publications publications;
     private ItemRelay relay;
+    private TimingExchange timings;
     private Peers peers;
     private PeerTransport transport;
     private List<Member> plannedView = List.of();
@@ -109,7 +111,6 @@
     private long lastCollectorReportNanos;
     private final Map<Receivers, SentReport> lastSent = new EnumMap<>(Receivers.class);
     private final Map<String, Member> membersByName = new HashMap<>();
-    private ReportedStatistics statistics;
     private ReportEncoder encoder;
     private ExchangeMetrics metrics;
     private int reportedRows;
@@ -127,10 +128,10 @@
         return List.of(
                 GatewayLoop.NAME,
                 GatewayState.NAME,
+                GatewayMetrics.NAME,
                 Publications.NAME,
                 Peers.NAME,
-                ItemRelay.NAME,
-                GatewayMetrics.NAME);
+                ItemRelay.NAME);
     }
 
     @Override
@@ -141,9 +142,9 @@
         relay = kernel.find(ItemRelay.NAME);
         peers = kernel.find(Peers.NAME);
         transport = peers.transport();
-        encoder = new ReportEncoder(state, publications);
-        statistics = new ReportedStatistics(state, publications);
         metrics = new ExchangeMetrics(kernel.find(GatewayMetrics.NAME).registry(), state.workers());
+        timings = new TimingExchange(state, kernel.find(GatewayMetrics.NAME).registry());
+        encoder = new ReportEncoder(state, publications, timings);
         transport.registerHandler(
                 LOADS, message -> loop.execute(() -> receive(message.sender().name(), message.body())));
         loop.runAfter(MIN_DIRECT_PERIOD_MILLIS, this::sendReports);
@@ -172,11 +173,13 @@
             membersByName.clear();
             view.forEach(member -> membersByName.put(member.name(), member));
             others = view.stream().filter(this::isOther).map(Member::name).toList();
+            timings.retainPeers(others);
             state.workers().updateFleet(peers.self(), others, nowNanos);
             state.quarantine().scheduleReminders();
             state.workers().limits().scheduleReminders();
         }
         state.updateFleetSize(others.size() + 1);
+        state.updateTimings(nowNanos);
         encoder.beginPeriod(nowNanos);
         if (plan.isDirect()) {
             reportToAll(nowNanos);
@@ -328,13 +331,14 @@
         state.workers().recordPeerLoads(peer, scope, loads, nowNanos);
         crashes.forEach(crash -> state.applyCrashNotice(crash, nowNanos));
         limits.forEach(limit -> state.applyLimitNotice(limit, peer, nowNanos));
-        statistics.recordWork(peer, scope, report, nowNanos);
+        timings.receive(peer, scope, report, nowNanos);
+        PartitionWorkCodec.record(peer, scope, report, state, nowNanos);
         recordLocations(scope, report, nowNanos);
-        statistics.recordFollowers(report, nowNanos);
+        recordFollowers(report, nowNanos);
         relay.recordPeerPosition(peer, new StorePosition(report.getEra(), report.getRevision()));
     }
 
-    private static PeerLoads.Scope scope(FleetProtos.LoadReport.Kind kind) {
+    static PeerLoads.Scope scope(FleetProtos.LoadReport.Kind kind) {
         return switch (kind) {
             case GATHERED -> PeerLoads.Scope.GATHERED;
             case OTHERS -> PeerLoads.Scope.OTHERS;
@@ -357,6 +361,17 @@
         }
     }
 
+    private void recordFollowers(FleetProtos.LoadReport report, long nowNanos) {
+        int count = Math.min(
+                report.getFollowersCount(),
+                Math.min(report.getFollowerAnswersCount(), report.getFollowerMillisCount()));
+        for (int i = 0; i < count; i++) {
+            StoreFollowerElection.Follower follower = new StoreFollowerElection.Follower(
+                    report.getFollowers(i), report.getFollowerAnswers(i), report.getFollowerMillis(i));
+            publications.followerElection().recordFollower(follower, nowNanos);
+        }
+    }
+
     /**
      * Returns a hash that identifies a process in reports. Shorter than the name, as reports are sent ten times a
      * second.
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ReportedStatistics.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/PartitionWorkCodec.java
@@ -1,29 +1,40 @@
 package org.dotterelcourse.gateway.fleet;
 
+import java.util.Arrays;
+
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
-import org.dotterelcourse.gateway.published.Publications;
-import org.dotterelcourse.gateway.published.StoreFollowerElection;
 import org.dotterelcourse.gateway.workers.PeerLoads;
 import org.dotterelcourse.policy.selection.LatencyClassWork;
 
-/** Records the work of engines and the followers of the store from the reports of peers. */
-final class ReportedStatistics {
+/** Adds the work of each latency class to load reports, and takes it from received ones. */
+final class PartitionWorkCodec {
     /**
      * Sender name under which the work reported by this process's collector is recorded, so that the sums of a new
      * collector replace those of its predecessor.
      */
     private static final String ANY_COLLECTOR = "";
 
-    private final GatewayState state;
-    private final Publications publications;
+    private PartitionWorkCodec() {}
 
-    ReportedStatistics(GatewayState state, Publications publications) {
-        this.state = state;
-        this.publications = publications;
+    static void addTo(
+            FleetProtos.LoadReport.Builder report, GatewayState state, PeerLoads.Scope scope, String receiver) {
+        state.enginePartitions().forEach((upstream, partition) -> {
+            LatencyClassWork work =
+                    switch (scope) {
+                        case GATHERED -> partition.reportersWork();
+                        case OTHERS -> partition.workExcluding(receiver);
+                        case OWN -> partition.localWork();
+                    };
+            report.addUpstreams(FleetProtos.UpstreamWork.newBuilder()
+                    .setUpstream(upstream)
+                    .addAllMillisByPace(
+                            Arrays.stream(work.millis()).mapToObj(Math::round).toList()));
+        });
     }
 
-    void recordWork(String peer, PeerLoads.Scope scope, FleetProtos.LoadReport report, long nowNanos) {
+    static void record(
+            String peer, PeerLoads.Scope scope, FleetProtos.LoadReport report, GatewayState state, long nowNanos) {
         for (FleetProtos.UpstreamWork work : report.getUpstreamsList()) {
             double[] millis = work.getMillisByPaceList().stream()
                     .mapToDouble(Long::doubleValue)
@@ -36,15 +47,4 @@
             }
         }
     }
-
-    void recordFollowers(FleetProtos.LoadReport report, long nowNanos) {
-        int count = Math.min(
-                report.getFollowersCount(),
-                Math.min(report.getFollowerAnswersCount(), report.getFollowerMillisCount()));
-        for (int i = 0; i < count; i++) {
-            StoreFollowerElection.Follower follower = new StoreFollowerElection.Follower(
-                    report.getFollowers(i), report.getFollowerAnswers(i), report.getFollowerMillis(i));
-            publications.followerElection().recordFollower(follower, nowNanos);
-        }
-    }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ReportEncoder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ReportEncoder.java
@@ -10,10 +10,10 @@
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.published.Publications;
 import org.dotterelcourse.gateway.published.StoreFollowerElection;
+import org.dotterelcourse.gateway.workers.PeerLoads;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.rate.LimitNotice;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
-import org.dotterelcourse.policy.selection.LatencyClassWork;
 
 /**
  * Encodes the load reports of one period. What all receivers get is encoded once; a report is the concatenation of that and
@@ -24,16 +24,20 @@
 
     private final GatewayState state;
     private final Publications publications;
+    private final TimingExchange timings;
     private byte[] common = {};
+    private long periodNanos;
     private boolean hasNotices;
 
-    ReportEncoder(GatewayState state, Publications publications) {
+    ReportEncoder(GatewayState state, Publications publications, TimingExchange timings) {
         this.state = state;
         this.publications = publications;
+        this.timings = timings;
     }
 
     /** Takes the notices that are due and encodes what all reports of this period have in common. */
     void beginPeriod(long nowNanos) {
+        periodNanos = nowNanos;
         List<CrashNotice> crashes = state.quarantine().takeNotices(nowNanos);
         List<LimitNotice> limits = state.workers().limits().takeNotices(nowNanos);
         hasNotices = !crashes.isEmpty() || !limits.isEmpty();
@@ -78,20 +82,9 @@
         for (CachedPrefixes.PartLocation location : locations) {
             report.addParts(location.part()).addPartWorkers(location.worker());
         }
-        state.enginePartitions().forEach((upstream, partition) -> {
-            LatencyClassWork work =
-                    switch (kind) {
-                        case GATHERED -> partition.reportersWork();
-                        case OTHERS -> partition.workExcluding(receiver);
-                        default -> partition.localWork();
-                    };
-            FleetProtos.UpstreamWork.Builder millis =
-                    FleetProtos.UpstreamWork.newBuilder().setUpstream(upstream);
-            for (double each : work.millis()) {
-                millis.addMillisByPace(Math.round(each));
-            }
-            report.addUpstreams(millis);
-        });
+        PeerLoads.Scope scope = FleetExchange.scope(kind);
+        PartitionWorkCodec.addTo(report, state, scope, receiver);
+        timings.addTo(report, scope, receiver, periodNanos);
         return concatenate(common, report.build(), workers);
     }
 
