--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
@@ -13,6 +13,7 @@
     private static final String PLATFORM = "platform";
     private static final String CONFIGURATION = "configuration";
     private static final String REPEATS = "repeats";
+    private static final String SELECTION = "selection";
     private static final Map<String, List<String>> KEYS = keys();
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final double NANOS_PER_MILLI = 1_000_000;
@@ -46,6 +47,7 @@
         SectionReader listen = sections.section(LISTEN);
         SectionReader platform = sections.section(PLATFORM);
         SectionReader repeats = sections.section(REPEATS);
+        SectionReader selection = sections.section(SELECTION);
         GatewaySettings settings = GatewaySettings.builder()
                 .name(daemon.required("name", ValueType.NAME))
                 .dataCentre(daemon.required("data-centre", ValueType.NAME))
@@ -68,6 +70,8 @@
                 .repeatRatio(repeats.required("ratio", COUNT_TYPE))
                 .repeatExtra(repeats.required("extra", COUNT_TYPE))
                 .repeatWindow(seconds(repeats.required("window-seconds", SECONDS_TYPE)))
+                .measuredSpeeds(selection.optional("measured-speeds", ValueType.BOOLEAN, true))
+                .separateStreams(selection.optional("separate-streams", ValueType.BOOLEAN, true))
                 .build();
         return findings.isEmpty() ? new Checked.Valid<>(settings) : findings.toInvalid(List.copyOf(KEYS.keySet()));
     }
@@ -109,6 +113,7 @@
                         "seeds"));
         keys.put(CONFIGURATION, List.of("step-milliseconds", "compress-above-bytes"));
         keys.put(REPEATS, List.of("ratio", "extra", "window-seconds"));
+        keys.put(SELECTION, List.of("measured-speeds", "separate-streams"));
         return keys;
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.gateway.workers;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -150,6 +151,15 @@
         }
     }
 
+    /**
+     * Returns the number of requests that all published workers can run concurrently.
+     *
+     * @return the sum of the workers' slots
+     */
+    public int slots() {
+        return byId.values().stream().mapToInt(worker -> worker.entry().slots()).sum();
+    }
+
     /**
      * Finds a worker by its name.
      *
@@ -160,6 +170,11 @@
         return Optional.ofNullable(byId.get(id));
     }
 
+    /** Returns all published workers. */
+    Collection<WorkerState> all() {
+        return byId.values();
+    }
+
     /**
      * Returns the workers that a request may be sent to. Workers are left out if they are leaving, have been replaced
      * at their address, or run in an evacuated data centre. Workers that must get no requests for a time are included,
