Move a reference sum of the tests out of Workers

Change: loadsExcluding, used by tests only, is CollectedLoads.excluding. Measured: WorkersTest and CollectedLoadsTest pass.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/CollectedLoads.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/CollectedLoads.java
@@ -28,6 +28,19 @@
         return sums;
     }
 
+    /**
+     * Returns the loads caused by all processes except one.
+     *
+     * @param peer name of the process
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return loads by incarnation of the worker
+     */
+    Map<Integer, PeerLoads.Load> excluding(String peer, long nowNanos) {
+        Map<Integer, PeerLoads.Load> sums = peerLoads.totalExcluding(peer, nowNanos);
+        workers.localLoads(nowNanos).forEach((worker, load) -> sums.merge(worker, load, PeerLoads.Load::plus));
+        return sums;
+    }
+
     /**
      * Returns the rows of {@link #all} that change if the load caused by one process is left out.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -378,17 +378,6 @@
         return plusLocalLoads(peerLoads.totalOfReporters(nowNanos), nowNanos);
     }
 
-    /**
-     * Returns the loads caused by all processes except one, for the report to that process.
-     *
-     * @param peer name of the process
-     * @param nowNanos current monotonic time in nanoseconds
-     * @return loads by incarnation of the worker
-     */
-    public Map<Integer, PeerLoads.Load> loadsExcluding(String peer, long nowNanos) {
-        return plusLocalLoads(peerLoads.totalExcluding(peer, nowNanos), nowNanos);
-    }
-
     private Map<Integer, PeerLoads.Load> plusLocalLoads(Map<Integer, PeerLoads.Load> sums, long nowNanos) {
         localLoads(nowNanos).forEach((worker, load) -> sums.merge(worker, load, PeerLoads.Load::plus));
         return sums;
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/CollectedLoadsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/CollectedLoadsTest.java
@@ -44,7 +44,7 @@
                         new HashMap<>(workers.collectedLoads().all(now));
                 rest.putAll(workers.collectedLoads().changesExcluding("p-" + peer, now));
                 rest.values().removeIf(PeerLoads.Load.NONE::equals);
-                Map<Integer, PeerLoads.Load> expected = workers.loadsExcluding("p-" + peer, now);
+                Map<Integer, PeerLoads.Load> expected = workers.collectedLoads().excluding("p-" + peer, now);
                 expected.values().removeIf(PeerLoads.Load.NONE::equals);
                 assertThat(rest.keySet()).isEqualTo(expected.keySet());
                 rest.forEach((worker, load) -> assertClose(load, expected.get(worker)));
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
@@ -149,7 +149,7 @@
         recordLoad("p1", PeerLoads.Scope.OWN, new PeerLoads.Load(2, 0, 10, 0, 0), SECOND);
         recordLoad("p2", PeerLoads.Scope.OWN, new PeerLoads.Load(4, 0, 20, 0, 0), SECOND);
         recordLoad("c2", PeerLoads.Scope.GATHERED, new PeerLoads.Load(8, 0, 40, 0, 0), SECOND);
-        assertThat(workers.loadsExcluding("p1", SECOND).get("a".hashCode()))
+        assertThat(workers.collectedLoads().excluding("p1", SECOND).get("a".hashCode()))
                 .isEqualTo(new PeerLoads.Load(13, 1, 110, 0, 0));
         assertThat(workers.aggregatedLoads(SECOND).get("a".hashCode())).isEqualTo(new PeerLoads.Load(7, 1, 80, 0, 0));
     }
