--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -45,11 +45,11 @@
     private final WorkerLimits limits = new WorkerLimits();
     private final WorkerBackoffs backoffs = new WorkerBackoffs();
     private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
-    private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible);
+    private final SelectionCounters counters = new SelectionCounters();
+    private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible, counters);
     private int indexedLeavingWorkers;
     private final CollectedLoads collectedLoads = new CollectedLoads(peerLoads, this);
     private long nextSequence;
-    private long selections;
 
     /**
      * Adds a worker or updates its entry. If the worker has restarted under its name, its previous state is discarded,
@@ -150,6 +150,15 @@
         }
     }
 
+    /**
+     * Returns the number of requests that all published workers can run concurrently.
+     *
+     * @return the sum of the workers' slots
+     */
+    public int slots() {
+        return byId.values().stream().mapToInt(worker -> worker.entry().slots()).sum();
+    }
+
     /**
      * Finds a worker by its name.
      *
@@ -176,7 +185,7 @@
      * @return the loads of the workers, including those of peers, in the order of {@link WorkerRanking}
      */
     public List<WorkerLoad> candidates(String upstream, Set<String> excluded, long nowNanos) {
-        selections++;
+        counters.recordSelection();
         refreshPeerLoads(nowNanos);
         List<WorkerState> serving = eligible(upstream);
         int suspects = 0;
@@ -195,21 +204,12 @@
     }
 
     /**
-     * Returns how often candidates for a request were collected.
-     *
-     * @return the number since the start of the process
-     */
-    public long selections() {
-        return selections;
-    }
-
-    /**
-     * Returns how often the index of the eligible workers was rebuilt.
+     * Returns how much work the selection of workers has been.
      *
-     * @return the number since the start of the process
+     * @return the counters since the start of the process
      */
-    public long indexRebuilds() {
-        return index.rebuilds();
+    public SelectionCounters counters() {
+        return counters;
     }
 
     private SendPermission sendPermission(WorkerState worker, ColdStart coldStart, long nowNanos) {
