--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ExchangeMetrics.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ExchangeMetrics.java
@@ -21,8 +21,8 @@
         received = registry.counter(PREFIX + "reports-received");
         receivedBytes = registry.counter(PREFIX + "report-bytes-received");
         unchanged = registry.counter(PREFIX + "reports-unchanged");
-        registry.register(PREFIX + "selections", (Gauge<Long>) workers::selections);
-        registry.register(PREFIX + "worker-index-rebuilds", (Gauge<Long>) workers::indexRebuilds);
+        registry.register(PREFIX + "selections", (Gauge<Long>) workers.counters()::selections);
+        registry.register(PREFIX + "worker-index-rebuilds", (Gauge<Long>) workers.counters()::indexRebuilds);
     }
 
     void recordSent(int bytes) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerIndex.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerIndex.java
@@ -16,20 +16,22 @@
 final class WorkerIndex {
     private final Collection<WorkerState> workers;
     private final Predicate<WorkerEntry> isEligible;
+    private final SelectionCounters counters;
     private final Map<String, List<WorkerState>> eligibleByUpstream = new HashMap<>();
     private Predicate<String> upstreamExists = upstream -> true;
     private boolean valid;
-    private long rebuilds;
 
     /**
      * Creates an index.
      *
      * @param workers all published workers
      * @param isEligible whether a worker with an entry may get requests, unless another one has replaced it
+     * @param counters counts the rebuilds
      */
-    WorkerIndex(Collection<WorkerState> workers, Predicate<WorkerEntry> isEligible) {
+    WorkerIndex(Collection<WorkerState> workers, Predicate<WorkerEntry> isEligible, SelectionCounters counters) {
         this.workers = workers;
         this.isEligible = isEligible;
+        this.counters = counters;
     }
 
     /** Returns whether two entries of one start of a worker have the same place in the index. */
@@ -62,12 +64,8 @@
         return eligibleByUpstream.getOrDefault(upstream, List.of());
     }
 
-    long rebuilds() {
-        return rebuilds;
-    }
-
     private void rebuild() {
-        rebuilds++;
+        counters.recordIndexRebuild();
         Map<String, WorkerState> latest = latestByAddress();
         eligibleByUpstream.clear();
         for (WorkerState worker : workers) {
