--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -19,6 +19,9 @@
  * gateway's event loop only.
  */
 public final class WorkerState {
+    /** Decayed number of outcomes up to which they are not reported, since they no longer influence any decision. */
+    private static final double MIN_REPORTED_OUTCOMES = 0.3;
+
     /** Slowness from which on a worker is reported as slow. It influences decisions at lower values already. */
     private static final double SLOW_BEGIN = 1.6;
 
@@ -137,6 +140,12 @@
         return outcomes;
     }
 
+    /** Returns whether this process has something to report: requests in flight, or more than hardly any outcomes. */
+    boolean hasLocalLoad(long nowNanos) {
+        return inFlight > 0
+                || outcomes.recentSuccesses(nowNanos) + outcomes.recentFailures(nowNanos) > MIN_REPORTED_OUTCOMES;
+    }
+
     PeerLoads.Load localLoad(long nowNanos) {
         return new PeerLoads.Load(
                 inFlight,
