--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -1,7 +1,6 @@
 package org.dotterelcourse.gateway.workers;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -45,7 +44,8 @@
     private final WorkerLimits limits = new WorkerLimits();
     private final WorkerBackoffs backoffs = new WorkerBackoffs();
     private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
-    private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible);
+    private final WorkerIndex index =
+            new WorkerIndex(byId.values(), entry -> !isLeaving(entry) && !evacuated.contains(entry.dataCentre()));
     private int indexedLeavingWorkers;
     private final CollectedLoads collectedLoads = new CollectedLoads(peerLoads, this);
     private long nextSequence;
@@ -170,7 +170,7 @@
     }
 
     /** Returns all published workers. */
-    Collection<WorkerState> all() {
+    Iterable<WorkerState> all() {
         return byId.values();
     }
 
@@ -313,10 +313,6 @@
         return index.eligible(upstream);
     }
 
-    private boolean isEligible(WorkerEntry entry) {
-        return !isLeaving(entry) && !evacuated.contains(entry.dataCentre());
-    }
-
     /**
      * Records a load report of a peer, which replaces its previous one.
      *
@@ -378,14 +374,8 @@
         return plusLocalLoads(peerLoads.totalOfReporters(nowNanos), nowNanos);
     }
 
-    /**
-     * Returns the loads caused by all processes except one, for the report to that process.
-     *
-     * @param peer name of the process
-     * @param nowNanos current monotonic time in nanoseconds
-     * @return loads by incarnation of the worker
-     */
-    public Map<Integer, PeerLoads.Load> loadsExcluding(String peer, long nowNanos) {
+    /** Returns the loads caused by all processes except one, by incarnation of the worker. */
+    Map<Integer, PeerLoads.Load> loadsExcluding(String peer, long nowNanos) {
         return plusLocalLoads(peerLoads.totalExcluding(peer, nowNanos), nowNanos);
     }
 
