--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.gateway.workers;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -44,12 +45,11 @@
     private final WorkerLimits limits = new WorkerLimits();
     private final WorkerBackoffs backoffs = new WorkerBackoffs();
     private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
-    private final WorkerIndex index =
-            new WorkerIndex(byId.values(), entry -> !isLeaving(entry) && !evacuated.contains(entry.dataCentre()));
+    private final SelectionCounters counters = new SelectionCounters();
+    private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible, counters);
     private int indexedLeavingWorkers;
     private final CollectedLoads collectedLoads = new CollectedLoads(peerLoads, this);
     private long nextSequence;
-    private long selections;
 
     /**
      * Adds a worker or updates its entry. If the worker has restarted under its name, its previous state is discarded,
@@ -170,7 +170,7 @@
     }
 
     /** Returns all published workers. */
-    Iterable<WorkerState> all() {
+    Collection<WorkerState> all() {
         return byId.values();
     }
 
@@ -185,7 +185,7 @@
      * @return the loads of the workers, including those of peers, in the order of {@link WorkerRanking}
      */
     public List<WorkerLoad> candidates(String upstream, Set<String> excluded, long nowNanos) {
-        selections++;
+        counters.recordSelection();
         refreshPeerLoads(nowNanos);
         List<WorkerState> serving = eligible(upstream);
         int suspects = 0;
@@ -204,21 +204,12 @@
     }
 
     /**
-     * Returns how often candidates for a request were collected.
+     * Returns how much work the selection of workers has been.
      *
-     * @return the number since the start of the process
+     * @return the counters since the start of the process
      */
-    public long selections() {
-        return selections;
-    }
-
-    /**
-     * Returns how often the index of the eligible workers was rebuilt.
-     *
-     * @return the number since the start of the process
-     */
-    public long indexRebuilds() {
-        return index.rebuilds();
+    public SelectionCounters counters() {
+        return counters;
     }
 
     private SendPermission sendPermission(WorkerState worker, ColdStart coldStart, long nowNanos) {
@@ -313,6 +304,10 @@
         return index.eligible(upstream);
     }
 
+    private boolean isEligible(WorkerEntry entry) {
+        return !isLeaving(entry) && !evacuated.contains(entry.dataCentre());
+    }
+
     /**
      * Records a load report of a peer, which replaces its previous one.
      *
@@ -374,11 +369,6 @@
         return plusLocalLoads(peerLoads.totalOfReporters(nowNanos), nowNanos);
     }
 
-    /** Returns the loads caused by all processes except one, by incarnation of the worker. */
-    Map<Integer, PeerLoads.Load> loadsExcluding(String peer, long nowNanos) {
-        return plusLocalLoads(peerLoads.totalExcluding(peer, nowNanos), nowNanos);
-    }
-
     private Map<Integer, PeerLoads.Load> plusLocalLoads(Map<Integer, PeerLoads.Load> sums, long nowNanos) {
         localLoads(nowNanos).forEach((worker, load) -> sums.merge(worker, load, PeerLoads.Load::plus));
         return sums;
