Open the client port early only where the start is short

Cause: after a loss of all processes, VMs of a fraction of a core accepted connections seconds before they could read them; clients gave these up after a second and had spent their only retry. Change: ClientListener opens the socket in Main only if the start is expected to end within a second, else the HTTP server opens it.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.edge;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -128,8 +129,9 @@
         MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
         endedRequests = metrics.counter("gateway.requests.ended");
         flushes = metrics.counter("gateway.efficiency.flushes");
-        startup = new StartupQueue(loop, state, listener, minProcesses, metrics);
         try {
+            listener.listen();
+            startup = new StartupQueue(loop, state, listener, minProcesses, metrics);
             server = HttpServer.create()
                     .runOn(listener.resources(loop.resources()), false)
                     .idleTimeout(IDLE_TIMEOUT)
@@ -139,7 +141,7 @@
                     .bindNow();
             startup.begin();
             return List.of();
-        } catch (ChannelBindException e) {
+        } catch (ChannelBindException | IOException e) {
             return List.of(new StartupFailure(NAME.value(), "can't listen for clients: " + e.getMessage()));
         }
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientListener.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientListener.java
@@ -11,8 +11,10 @@
 import reactor.netty.resources.LoopResources;
 
 /**
- * The listening socket of the client port. Opened before any other class is loaded, so that clients that connect during
- * a start wait in the socket's backlog instead of being refused; the HTTP server takes it over.
+ * The listening socket of the client port. Where a start is short, it is opened before any other class is loaded, so that
+ * clients that connect meanwhile wait in the socket's backlog instead of being refused. Where it is long, it is opened by the
+ * HTTP server: a client gives up a connection on which its request is not read within a second, and a refused one connects
+ * to another VM at once.
  */
 public final class ClientListener {
     /** All connections that clients open at a VM within the longest start; the kernel reduces it to its own maximum. */
@@ -28,34 +30,54 @@
     /** Below the 15 s within which service must be back after a loss of all processes. */
     private static final long MAX_EXPECTED_MILLIS = 10_000;
 
-    private final ServerSocketChannel socket;
-    private final long listeningNanos;
+    /** Time for which clients wait for their request to be read. */
+    private static final long MAX_BACKLOG_MILLIS = 1_000;
+
+    private final ClientHttpServer.ListenAddress address;
     private final long expectedMillis;
+    private ServerSocketChannel socket;
+    private long listeningNanos;
 
-    private ClientListener(ServerSocketChannel socket, long listeningNanos, long expectedMillis) {
-        this.socket = socket;
-        this.listeningNanos = listeningNanos;
+    private ClientListener(ClientHttpServer.ListenAddress address, long expectedMillis) {
+        this.address = address;
         this.expectedMillis = expectedMillis;
     }
 
     /**
-     * Opens the socket.
+     * Creates a listener, and opens its socket if the process is expected to serve before clients give up.
      *
      * @param address the address to listen on
      * @param processMillis how long the process has been running, in milliseconds; 0 if it is not starting
-     * @return the listening socket
+     * @return the listener
      * @throws IOException if the address can't be used
      */
     public static ClientListener open(ClientHttpServer.ListenAddress address, long processMillis) throws IOException {
-        ServerSocketChannel socket = ServerSocketChannel.open();
+        long expected = Math.max(MIN_EXPECTED_MILLIS, Math.min(MAX_EXPECTED_MILLIS, processMillis * START_RATIO));
+        ClientListener listener = new ClientListener(address, expected);
+        if (expected <= MAX_BACKLOG_MILLIS) {
+            listener.listen();
+        }
+        return listener;
+    }
+
+    /**
+     * Opens the socket if it is not open yet.
+     *
+     * @throws IOException if the address can't be used
+     */
+    void listen() throws IOException {
+        if (socket != null) {
+            return;
+        }
+        ServerSocketChannel opened = ServerSocketChannel.open();
         try {
-            socket.bind(new InetSocketAddress(address.address(), address.port()), BACKLOG);
+            opened.bind(new InetSocketAddress(address.address(), address.port()), BACKLOG);
         } catch (IOException e) {
-            socket.close();
+            opened.close();
             throw e;
         }
-        long expected = Math.max(MIN_EXPECTED_MILLIS, Math.min(MAX_EXPECTED_MILLIS, processMillis * START_RATIO));
-        return new ClientListener(socket, System.nanoTime(), expected);
+        listeningNanos = System.nanoTime();
+        socket = opened;
     }
 
     /**
