--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/ItemsCodecTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/ItemsCodecTest.java
@@ -19,7 +19,7 @@
 class ItemsCodecTest {
     private static final List<PublishedItem> ITEMS = List.of(
             new PublishedItem(
-                    "op/config", "{\"name\":\"route\"}".repeat(20_000).getBytes(StandardCharsets.UTF_8), 7, false),
+                    "configuration", "{\"name\":\"route\"}".repeat(20_000).getBytes(StandardCharsets.UTF_8), 7, false),
             new PublishedItem("servers/a", new byte[0], 8, true));
     private static final FleetProtos.Items PLAIN = ItemsCodec.encode(ITEMS, new StorePosition(1, 8))
             .setAfter(6)
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/RelayLoadTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/RelayLoadTest.java
@@ -84,6 +84,6 @@
                     + ",\"targetLatencyMs\":" + (300 + i % 41) + ",\"priority\":" + i % 4
                     + ",\"service\":\"plain\",\"maxAttempts\":2,\"anonymous\":false,\"resumable\":false},");
         }
-        return new PublishedItem("op/config", text.toString().getBytes(StandardCharsets.UTF_8), 1, false);
+        return new PublishedItem("configuration", text.toString().getBytes(StandardCharsets.UTF_8), 1, false);
     }
 }
