Keep suspected processes from leading branches of the forwarding tree

Cause: the receivers were cut into consecutive parts, and data centres were ordered by name. With suspected members last, a part could consist of them only, and a failed data centre early in the alphabet led the branch of other data centres, which then got a large configuration only on request.

Change: receivers and data centres are dealt out to the branches in turn, in the order in which the sender prefers them, so that the earliest ones lead.

Ruled out: a state of the member in ForwardingTree.Receiver. The order of the receivers carries it already.

Measured: the new test in ForwardingTreeTest failed before and passes now.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ForwardingTree.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ForwardingTree.java
@@ -1,9 +1,9 @@
 package org.dotterelcourse.gateway.fleet;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.stream.Collectors;
 
 /**
@@ -36,16 +36,20 @@
     record Branch(String name, List<String> forwardTo) {}
 
     /**
-     * Divides receivers into branches. Within a data centre, earlier receivers are preferred for forwarding.
+     * Divides receivers into branches. Each branch is led by the earliest of its receivers, and the earliest receivers are
+     * spread over the branches. A process that does not respond, or a data centre that has failed, therefore keeps the
+     * message from others only if all receivers before them lead branches already.
      *
-     * @param receivers the receivers, without the sender
+     * @param receivers the receivers, without the sender, the ones that are preferred for forwarding first
      * @param ownDataCentre data centre of the sender
-     * @return the branches, which contain each receiver once; at most four, the largest ones first
+     * @return the branches, which contain each receiver once; at most four, those of other data centres first
      */
     static List<Branch> divide(List<Receiver> receivers, String ownDataCentre) {
-        Map<String, List<String>> namesByDataCentre = new TreeMap<>(receivers.stream()
+        Map<String, List<String>> namesByDataCentre = receivers.stream()
                 .collect(Collectors.groupingBy(
-                        Receiver::dataCentre, Collectors.mapping(Receiver::name, Collectors.toList()))));
+                        Receiver::dataCentre,
+                        LinkedHashMap::new,
+                        Collectors.mapping(Receiver::name, Collectors.toList())));
         List<String> localNames = namesByDataCentre.getOrDefault(ownDataCentre, List.of());
         namesByDataCentre.remove(ownDataCentre);
         List<List<String>> remoteGroups = List.copyOf(namesByDataCentre.values());
@@ -65,12 +69,16 @@
         return new Branch(names.get(0), List.copyOf(names.subList(1, names.size())));
     }
 
-    /** Splits a list into at most the given number of non-empty parts of nearly equal size. */
+    /** Deals a list out into at most the given number of non-empty parts, which begin with its first elements. */
     private static <T> List<List<T>> split(List<T> list, int count) {
         List<List<T>> parts = new ArrayList<>();
         int partCount = Math.min(count, list.size());
         for (int i = 0; i < partCount; i++) {
-            parts.add(list.subList(i * list.size() / partCount, (i + 1) * list.size() / partCount));
+            List<T> part = new ArrayList<>();
+            for (int j = i; j < list.size(); j += partCount) {
+                part.add(list.get(j));
+            }
+            parts.add(part);
         }
         return parts;
     }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/ForwardingTreeTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/ForwardingTreeTest.java
@@ -57,6 +57,37 @@
         assertThat(fromOutside).isEqualTo(Map.of("dc-1", 1, "dc-2", 1, "dc-3", 1));
     }
 
+    // Guards against a message that a failed data centre, or failed processes of the own one, keep from processes that
+    // could have forwarded it. The sender lists processes that do not respond last.
+    @Test
+    void aProcessThatDoesNotRespondLeadsNoBranchWithOthersThatDo() {
+        List<Receiver> receivers = new ArrayList<>();
+        List<String> responding = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            receivers.add(new Receiver("own-" + i, "dc-0"));
+            receivers.add(new Receiver("third-" + i, "dc-3"));
+            receivers.add(new Receiver("second-" + i, "dc-2"));
+        }
+        receivers.forEach(receiver -> responding.add(receiver.name()));
+        for (int i = 6; i < 18; i++) {
+            receivers.add(new Receiver("own-" + i, "dc-0"));
+            receivers.add(new Receiver("first-" + i, "dc-1"));
+        }
+        assertThat(ForwardingTree.divide(receivers, "dc-0"))
+                .extracting(Branch::name)
+                .hasSize(4)
+                .isSubsetOf(responding);
+        assertThat(ForwardingTree.divide(receivers, "dc-4"))
+                .extracting(Branch::name)
+                .contains("own-0", "third-0", "second-0");
+        List<Receiver> own = receivers.stream()
+                .filter(receiver -> receiver.dataCentre().equals("dc-0"))
+                .toList();
+        assertThat(ForwardingTree.divide(own, "dc-0"))
+                .extracting(Branch::name)
+                .containsExactly("own-0", "own-1", "own-2");
+    }
+
     private static List<Receiver> receivers(int count, int dataCentres) {
         List<Receiver> all = new ArrayList<>();
         for (int i = 0; i < count; i++) {
