--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ItemRelay.java
@@ -264,6 +264,7 @@
                 .setHoldMillis((int) publications.deletionHoldMillis())
                 .build();
         compressedMessages.inc();
+        responseDelay.recordLargeMessage(publications.position(), loop.nowNanos());
         sendAlongTree(ItemsCodec.compress(message), otherMembers());
     }
 
