Performance: steps with a prompt in a peer's report are bounded by the mean

Cause: their mean was bounded by absolute limits only (0.1 to 2,000 ms), so one router could raise the mean over all engines, which determines the latency class of routes, and was not counted as implausible. Change: the upstream's mean is the reference, as for the other two means. Ruled out: a lower absolute limit, which depends on the engines in use. Measured: with a report of 2,000 ms among 64 of 50 ms the mean stays below 90 ms; the new test fails without the bound. PerformanceEstimatorTest passes.

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/performance/PerformanceEstimator.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/performance/PerformanceEstimator.java
@@ -64,10 +64,9 @@
                                 slowness(each, signal, mean), each.meanStepMillis(), mixedStepMillis(each)));
             }
         });
+        double mixed = mixedStepMillis(sums.values().stream().reduce(TimingSums.NONE, TimingSums::plus));
         return new Estimate(
-                workers,
-                new TimingBounds(mean(sums, Signal.STEPS), mean(sums, Signal.RESPONSES)),
-                mixedStepMillis(sums.values().stream().reduce(TimingSums.NONE, TimingSums::plus)));
+                workers, new TimingBounds(mean(sums, Signal.STEPS), mean(sums, Signal.RESPONSES), mixed), mixed);
     }
 
     /** What workers are compared by. */
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/performance/TimingBounds.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/performance/TimingBounds.java
@@ -9,10 +9,11 @@
  *
  * @param stepMillis the upstream's mean step in milliseconds; 0 if unknown
  * @param responseRatio the upstream's mean ratio of measured to expected times; 0 if unknown
+ * @param mixedStepMillis the upstream's mean step with a prompt in milliseconds; 0 if unknown
  */
-public record TimingBounds(double stepMillis, double responseRatio) {
+public record TimingBounds(double stepMillis, double responseRatio, double mixedStepMillis) {
     /** Bounds of an upstream without an estimate. */
-    public static final TimingBounds UNKNOWN = new TimingBounds(0, 0);
+    public static final TimingBounds UNKNOWN = new TimingBounds(0, 0, 0);
 
     /**
      * Largest weight of one process in tokens, about two streams. In a fleet of 65 processes, one of them has at most a
@@ -55,7 +56,8 @@
         double step =
                 bounded(reported.meanStepMillis(), stepMillis, MIN_PLAUSIBLE_STEP_MILLIS, MAX_PLAUSIBLE_STEP_MILLIS);
         double ratio = bounded(reported.responseRatio(), responseRatio, 1 / MAX_PLAUSIBLE_RATIO, MAX_PLAUSIBLE_RATIO);
-        double mixed = bounded(reported.meanMixedStepMillis(), 0, MIN_PLAUSIBLE_STEP_MILLIS, MAX_PLAUSIBLE_STEP_MILLIS);
+        double mixed = bounded(
+                reported.meanMixedStepMillis(), mixedStepMillis, MIN_PLAUSIBLE_STEP_MILLIS, MAX_PLAUSIBLE_STEP_MILLIS);
         boolean plausible = isPlausible(step, reported.meanStepMillis())
                 && isPlausible(ratio, reported.responseRatio())
                 && isPlausible(mixed, reported.meanMixedStepMillis());
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/performance/PerformanceEstimatorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/performance/PerformanceEstimatorTest.java
@@ -83,7 +83,7 @@
 
     @Test
     void oneReportMovesTheEstimateByALimitedAmount() {
-        TimingBounds bounds = new TimingBounds(5, 0);
+        TimingBounds bounds = new TimingBounds(5, 0, 0);
         TimingBounds.Checked implausible = bounds.check(steps(90_000, 1e9), 1);
         assertThat(implausible.plausible()).isFalse();
         assertThat(implausible.sums().meanStepMillis()).isCloseTo(20, within(1e-9));
@@ -95,11 +95,29 @@
         assertThat(estimator.estimate(sums).workers().get(0).slowness()).isLessThan(1.5);
     }
 
+    // Guards against one router whose steps with prompts change the latency class of routes: other routers see few of
+    // them, so that its capped weight is not small.
+    @Test
+    void oneReportMovesTheMeanOfMixedStepsByALimitedAmount() {
+        TimingSums honest = new TimingSums(5 * 300, 300, 50 * 20, 20, 0, 0);
+        Map<Integer, TimingSums> sums = new HashMap<>();
+        for (int i = 0; i < 64; i++) {
+            sums.put(i, honest);
+        }
+        PerformanceEstimator.Estimate before = estimator.estimate(sums);
+        assertThat(before.mixedStepMillis()).isCloseTo(50, within(1e-9));
+        TimingBounds.Checked implausible =
+                before.bounds().check(new TimingSums(5 * 300, 300, 2_000 * 300, 300, 0, 0), 1);
+        assertThat(implausible.plausible()).isFalse();
+        sums.merge(0, implausible.sums(), TimingSums::plus);
+        assertThat(estimator.estimate(sums).mixedStepMillis()).isLessThan(90);
+    }
+
     // An honest router has such a mean if it used an engine only while that read prompts. Warnings of it would be
     // constant.
     @Test
     void unusualMeansAreBoundedButPlausible() {
-        TimingBounds.Checked unusual = new TimingBounds(5, 1.4).check(steps(50, 90), 1);
+        TimingBounds.Checked unusual = new TimingBounds(5, 1.4, 0).check(steps(50, 90), 1);
         assertThat(unusual.plausible()).isTrue();
         assertThat(unusual.sums().meanStepMillis()).isCloseTo(20, within(1e-9));
         assertThat(TimingBounds.UNKNOWN.check(steps(50, 90), 1).sums().meanStepMillis())
