Partition: implausible work in a peer's report is ignored

Cause: reported work was taken unchecked; by the code, a huge value of one peer assigns all engines to one latency class and a negative one distorts the shares. Change: reports with values below 0, above 1.2e9 ms or not a number are ignored. Ruled out: bounding such values, which would keep their class the largest. Measured: the new test fails without the check. EnginePartitionTest passes.

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EnginePartition.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EnginePartition.java
@@ -48,6 +48,12 @@
     /** Time after its last report for which the work of a peer is counted. */
     private static final long PEER_EXPIRY_NANOS = 10_000_000_000L;
 
+    /**
+     * Largest plausible work of one class in a report: four times the work of 4,200 engines in a mean lifetime of the
+     * recorded work (43 s), with the highest weight.
+     */
+    private static final double MAX_PEER_WORK_MILLIS = 1.2e9;
+
     private final Map<String, PeerWork> peers = new HashMap<>();
     private LatencyClassWork localWork = new LatencyClassWork(INITIAL_WORK_MILLIS.clone());
     private boolean started;
@@ -67,7 +73,8 @@
     }
 
     /**
-     * Records the work that a peer has reported. Processes with the same sums mostly agree on the partition.
+     * Records the work that a peer has reported. Processes with the same sums mostly agree on the partition. A report with
+     * a value that is negative, not a number or implausibly large is ignored, as it would assign all engines to one class.
      *
      * @param peer name of the peer
      * @param individual true if the report covers the peer's own work only, false if it is a sum over several processes
@@ -75,7 +82,9 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordPeerWork(String peer, boolean individual, LatencyClassWork work, long nowNanos) {
-        peers.put(peer, new PeerWork(individual, work, nowNanos));
+        if (Arrays.stream(work.millis()).allMatch(each -> each >= 0 && each <= MAX_PEER_WORK_MILLIS)) {
+            peers.put(peer, new PeerWork(individual, work, nowNanos));
+        }
     }
 
     /**
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EnginePartitionTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EnginePartitionTest.java
@@ -36,6 +36,21 @@
         assertThat(next).isIn(0, engines);
     }
 
+    // Guards against one peer with a corrupt sum that assigns all engines to one latency class.
+    @Test
+    void implausibleWorkOfAPeerIsIgnored() {
+        for (double value : new double[] {-1, -1e18, 1e18, Double.NaN, Double.POSITIVE_INFINITY}) {
+            EnginePartition partition = new EnginePartition();
+            EnginePartition unaffected = new EnginePartition();
+            partition.recordPeerWork("peer", true, new LatencyClassWork(new double[] {value, 900, 900}), 0);
+            assertThat(partition.reportersWork().millis())
+                    .containsExactly(unaffected.reportersWork().millis());
+            for (LatencyClass latencyClass : LatencyClass.values()) {
+                assertThat(partition.range(latencyClass, 12)).isEqualTo(unaffected.range(latencyClass, 12));
+            }
+        }
+    }
+
     // Each change of the partition gives prompt parts other preferred engines, which have to read them again. A small
     // change of the traffic mix must not cause that.
     @Test
