Gaps: targets without recent streams no longer determine costs

Cause: gap targets were only removed above 16 different ones, so the target of a removed route remained the shortest one until the process ended. Change: targets are removed when their decayed count is below 0.01. Ruled out: removal with the configuration, which leaves unused routes. Measured: the new test fails without the removal. GapClassifierTest passes.

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/GapClassifier.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/GapClassifier.java
@@ -34,6 +34,12 @@
     /** Number of different gap targets that are counted, to bound the memory. */
     private static final int MAX_TARGETS = 16;
 
+    /**
+     * Decayed count below which a gap target is removed: 200 s after a single stream. The shortest target, which the costs
+     * depend on, must not be that of a route which no longer exists.
+     */
+    private static final double MIN_COUNT = 0.01;
+
     /** Increase of measured steps over the current threshold from which on it is raised. */
     private static final double RAISE_FACTOR = 1.25;
 
@@ -149,6 +155,7 @@
         Streams counted = byGapTarget.computeIfAbsent(gapTarget, target -> new Streams());
         counted.count = counted.at(nowNanos) + 1;
         counted.updatedNanos = nowNanos;
+        byGapTarget.values().removeIf(each -> each.at(nowNanos) < MIN_COUNT);
         double total = 0;
         for (Streams each : byGapTarget.values()) {
             total += each.at(nowNanos);
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/GapClassifierTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/GapClassifierTest.java
@@ -95,6 +95,16 @@
         assertThat(GapCost.NONE.weight(3)).isEqualTo(1);
     }
 
+    // Guards against a removed route whose shorter target determines the cost of prompts until the process ends.
+    @Test
+    void theCostForgetsTargetsWithoutRecentStreams() {
+        classifier.classify(new GapClassifier.Stream(100, 500, 6, 5), SECOND);
+        classifier.classify(SHORT, 60 * SECOND);
+        assertThat(classifier.gapCost().targetMillis()).isEqualTo(100);
+        classifier.classify(SHORT, 300 * SECOND);
+        assertThat(classifier.gapCost().targetMillis()).isEqualTo(250);
+    }
+
     @Test
     void streamsAreClassifiedByTheirTargetsWhereTheSettingSaysSo() {
         GapClassifier plain = new GapClassifier(false);
