Partition: peers' work of upstreams that are not configured is ignored

Cause: each upstream name in a report created a partition, which was reported onwards and never removed; processes reported removed upstreams to each other for ever, and memory and reports grew with each name. Change: such work is ignored; a new routing table removes the partitions of upstreams that it does not have. Ruled out: expiry by age, as each process renews the reports of the others. Measured: the new test fails without the check; it, WorkerTimingsTest, TimingCodecTest, FleetTimingsTest and SuspectPlacementTest pass.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -110,6 +110,7 @@
             return;
         }
         table = next;
+        enginePartitions.keySet().removeIf(upstream -> !next.hasUpstream(upstream));
         workers.configureUpstreams(
                 next::hasUpstream, upstream -> next.upstream(upstream).coldStart());
         audit.add(AuditEvent.Kind.CONFIGURATION, "routing", "published", "" + before, "" + next.number());
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/PartitionWorkCodec.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/PartitionWorkCodec.java
@@ -33,13 +33,20 @@
         });
     }
 
+    /**
+     * Records the work in a report. That of upstreams which are not configured is ignored: processes would otherwise report
+     * removed upstreams to each other for ever.
+     */
     static void record(
             String peer, PeerLoads.Scope scope, FleetProtos.LoadReport report, GatewayState state, long nowNanos) {
         for (FleetProtos.UpstreamWork work : report.getUpstreamsList()) {
             double[] millis = work.getMillisByPaceList().stream()
                     .mapToDouble(Long::doubleValue)
                     .toArray();
-            if (millis.length == LatencyClassWork.none().millis().length) {
+            boolean configured = state.table()
+                    .filter(table -> table.hasUpstream(work.getUpstream()))
+                    .isPresent();
+            if (configured && millis.length == LatencyClassWork.none().millis().length) {
                 boolean ownOnly = scope == PeerLoads.Scope.OWN;
                 String sender = scope == PeerLoads.Scope.OTHERS ? ANY_COLLECTOR : peer;
                 state.enginePartition(work.getUpstream())
