Cancel a worker's stream whose response headers can't be written

Cause: the stream was subscribed only after the headers had been written. If the write failed, nothing ended the worker's response: its connection stayed open and the request kept counting as load. Change: StreamSender cancels a stream that was not subscribed when sending ends. Ruled out: an operator on the stream itself, which would cost time per event. Measured: StreamSenderTest (3) and WorkerClientTest (1) passed. The fault was found by reading and not reproduced with a client; without StreamSender no code cancels the stream, but the tests were not run against the old code.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -282,12 +282,15 @@
     }
 
     private Mono<Void> sendEvents(HttpServerResponse response, Reply.Streamed streamed) {
-        if (EventWriter.isApplicable(response)) {
-            return response.then(new EventWriter(streamed.events(), EventWriter.channel(response), flushes))
+        return StreamSender.send(Flux.from(streamed.events()), events -> {
+            if (EventWriter.isApplicable(response)) {
+                return response.then(new EventWriter(events, EventWriter.channel(response), flushes))
+                        .then();
+            }
+            Flux<ByteBuf> buffers = events.map(Unpooled::wrappedBuffer);
+            return response.send(ByteBufFlux.fromInbound(buffers), buffer -> true)
                     .then();
-        }
-        Flux<ByteBuf> events = Flux.from(streamed.events()).map(Unpooled::wrappedBuffer);
-        return response.send(ByteBufFlux.fromInbound(events), buffer -> true).then();
+        });
     }
 
     private static Mono<Void> sendLocal(HttpServerResponse response, LocalReply reply, RequestLog log) {
