WorkerClientTest: the second request is sent when the first response has been read

Change: the test waits for the event loop before it sends the second request. Ruled out: a stand-in that accepts several connections, which would pass without any reuse.

--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
@@ -60,6 +60,8 @@
             };
             send(client, entry).flatMapMany(StreamedResponse::body).subscribe(slowClient);
             assertThat(firstItem.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+            // The packet is processed in one pass of the loop; a request before its end would get another connection.
+            awaitLoop();
 
             CompletableFuture<Integer> second = send(client, entry)
                     .flatMap(response -> response.body().then(Mono.just(response.status())))
@@ -67,12 +69,8 @@
             assertThat(secondRequest.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS))
                     .as("second request on the same connection")
                     .isTrue();
-            CountDownLatch onLoop = new CountDownLatch(1);
-            loop.execute(() -> {
-                slowClient.cancel();
-                onLoop.countDown();
-            });
-            assertThat(onLoop.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+            loop.execute(slowClient::cancel);
+            awaitLoop();
             cancelled.countDown();
 
             assertThat(second.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo(200);
@@ -80,6 +78,13 @@
         }
     }
 
+    /** Waits until everything that the event loop has begun before is done. */
+    private void awaitLoop() throws InterruptedException {
+        CountDownLatch onLoop = new CountDownLatch(1);
+        loop.execute(onLoop::countDown);
+        assertThat(onLoop.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
     private static Mono<StreamedResponse> send(WorkerClient client, WorkerEntry entry) {
         return client.send(entry, HttpMethod.GET, "/", new DefaultHttpHeaders().add("Host", "w"), new byte[0])
                 .timeout(Duration.ofMillis(TIMEOUT_MILLIS));
