Partition engines by number again, not by measured capacity

Change: EngineSelector asks for ranges by number; measured speeds still scale the costs of each engine and its free slots.

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -16,7 +16,7 @@
  * therefore partitioned between the latency classes by the ranks of their addresses ({@link EnginePartition}). Requests of
  * a fully loaded partition spill over to other partitions, at a penalty.
  *
- * <p>Costs are those of an engine of nominal speed, multiplied by the engine's slowness; the partition goes by capacity.
+ * <p>Costs are those of an engine of nominal speed, multiplied by the engine's slowness.
  *
  * <p>It also handles prompts with shared parts, which are half of the prefill work of the workloads in use. A prompt goes
  * to an engine that has its parts in its cache, as far as the processes have reported to each other, unless the queue there
@@ -173,10 +173,10 @@
         }
         List<WorkerLoad> ranked = WorkerRanking.ranked(workers);
         boolean anyHealthy = isAnyHealthy(ranked);
-        EnginePartition.Range range = partition.range(
-                prompt.latencyClass(),
-                ranked.size(),
-                rank -> ranked.get(rank).performance().capacity());
+        // The ranges go by the number of engines. With ranges by measured capacity, they moved with the measurements,
+        // parts of
+        // prompts got other preferred engines and were read again there.
+        EnginePartition.Range range = partition.range(prompt.latencyClass(), ranked.size());
         // Ranks and partition must not depend on suspicions. Processes suspect different engines at different times, so
         // they would then disagree on the preferred engines of every part.
         int[] preferred = preferredRanks(prompt, ranked, range, anyHealthy);
