Latency classes keep their prior threshold of a step with a prompt

Change: the gateway no longer raises the threshold by measured steps. The method stays in GapClassifier, unused.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
@@ -73,7 +73,6 @@
         String upstream = call.attributes().upstream().name();
         Route route = call.attributes().route();
         GapClassifier classifier = state.gapClassifier(upstream);
-        classifier.updateMixedStep(state.timings().estimate(upstream).mixedStepMillis());
         LatencyClass latencyClass = classifier.classify(
                 new GapClassifier.Stream(
                         route.gapTargetMillis(),
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/GapClassifier.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/GapClassifier.java
@@ -86,7 +86,8 @@
     /**
      * Updates the threshold of gap targets by the measured time of steps with a prompt. It is only raised above its prior,
      * for engines that read larger parts of prompts at a time: a measured mean below the prior may be due to short prompts,
-     * and streams would become sensitive to gaps whenever longer prompts arrive.
+     * and streams would become sensitive to gaps whenever longer prompts arrive. The gateway does not call it: an overload
+     * lengthens all steps, and streams would become gap-sensitive just when their engines are needed by all.
      *
      * @param mixedStepMillis mean time of such steps over all engines in milliseconds; 0 if unknown
      */
