Admission gets the routing table that its caller has checked

Cause: since requests wait for the table, ClientHttpServer rejects those without one; Admission's own check and Retry-After were dead. Change: decide takes a table. Ruled out: the check in Admission alone, which does not know when the start is expected to end. Measured: gateway tests, PlatformDaemonTest and StartupRequestsTest pass.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
@@ -28,9 +28,6 @@
     private static final int BAD_REQUEST = 400;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** A process reads its first routing table within a few hundred milliseconds after its start. */
-    private static final long RETRY_AFTER_START_MILLIS = 300;
-
     /** Hop-by-hop headers of RFC 9110, 7.6.1, and headers that each sender of a message sets itself. */
     private static final Set<String> HOP_BY_HOP_HEADERS = Set.of(
             "connection",
@@ -68,15 +65,11 @@
         record Rejected(LocalReply reply) implements Decision {}
     }
 
-    Decision decide(Optional<RoutingTable> currentTable, HttpHeaders headers, String uri, long arrivalNanos) {
-        if (currentTable.isEmpty()) {
-            return rejected(LocalReply.notExecuted("no routing table yet", RETRY_AFTER_START_MILLIS));
-        }
+    Decision decide(RoutingTable table, HttpHeaders headers, String uri, long arrivalNanos) {
         String id = dialect.requestId(headers);
         if (id.isEmpty()) {
             return rejected(new LocalReply(BAD_REQUEST, "the request has no id", 0));
         }
-        RoutingTable table = currentTable.get();
         Optional<Route> route = table.route(headers.get(HttpHeaderNames.HOST, ""), path(uri));
         if (route.isEmpty()) {
             return rejected(new LocalReply(NOT_FOUND, "no route", 0));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
@@ -26,6 +27,7 @@
 import org.dotterelcourse.gateway.forward.LocalReply;
 import org.dotterelcourse.gateway.forward.Reply;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
+import org.dotterelcourse.gateway.routing.RoutingTable;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -240,14 +242,15 @@
         if (phase == Phase.DRAINING) {
             return sendLocal(response, LocalReply.notExecuted("shutting down", 1), log);
         }
-        if (state.table().isEmpty()) {
+        Optional<RoutingTable> table = state.table();
+        if (table.isEmpty()) {
             return sendLocal(response, LocalReply.notExecuted("no routing table yet", startup.retryAfterMillis()), log);
         }
-        if (body.length > state.table().get().limits().maxBodyBytes()) {
+        if (body.length > table.get().limits().maxBodyBytes()) {
             return sendLocal(response, TOO_LARGE, log);
         }
         HttpHeaders headers = request.requestHeaders();
-        Admission.Decision decision = admission.decide(state.table(), headers, request.uri(), arrivalNanos);
+        Admission.Decision decision = admission.decide(table.get(), headers, request.uri(), arrivalNanos);
         if (decision instanceof Admission.Decision.Rejected rejected) {
             return sendLocal(response, rejected.reply(), log);
         }
