Metrics endpoint: a socket address in place of a second record for it

Cause: GatewayMetrics.ListenAddress repeated ClientHttpServer.ListenAddress, which it can't use without a cycle between the packages. Change: InetSocketAddress, as PlatformDaemon parses it already. Measured: PlatformDaemonTest passes.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/metrics/GatewayMetrics.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/metrics/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.metrics;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
 
@@ -27,23 +28,15 @@
     private static final String PATH = "/metrics";
 
     private final MetricRegistry registry = new MetricRegistry();
-    private final Optional<ListenAddress> listenAddress;
+    private final Optional<InetSocketAddress> listenAddress;
     private DisposableServer server;
 
-    /**
-     * Address of the listening socket.
-     *
-     * @param address the IP address
-     * @param port the TCP port, 0 for any free port
-     */
-    public record ListenAddress(String address, int port) {}
-
     /**
      * Creates an empty registry.
      *
      * @param listenAddress address of the metrics endpoint; empty to disable it
      */
-    public GatewayMetrics(Optional<ListenAddress> listenAddress) {
+    public GatewayMetrics(Optional<InetSocketAddress> listenAddress) {
         this.listenAddress = listenAddress;
     }
 
@@ -64,8 +57,7 @@
         }
         try {
             server = HttpServer.create()
-                    .host(listenAddress.get().address())
-                    .port(listenAddress.get().port())
+                    .bindAddress(listenAddress::get)
                     .runOn(kernel.find(GatewayLoop.NAME).resources(), false)
                     .route(routes -> routes.get(
                             PATH,
