Client distribution uses the rank hash of the selectors

Cause: it repeated another finalizer; clients whose hashes differ by one got correlated selections (found in review). Change: RankHash is public and hashes client and address. Measured: ClientDistributionTest passes, its bounds unchanged.

--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/distribution/ClientDistribution.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/distribution/ClientDistribution.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.stream.IntStream;
 
+import org.dotterelcourse.policy.selection.RankHash;
+
 /**
  * Selects the addresses that a client is told, so that VMs get clients in proportion to their spare capacity.
  *
@@ -127,13 +129,6 @@
 
     /** Position of a member for a client, uniformly distributed between 0 and 1. */
     private static double position(String client, String address) {
-        int hash = client.hashCode() * 31 + address.hashCode();
-        // Finalization steps of MurmurHash3: addresses that differ in one digit must not have adjacent positions.
-        hash ^= hash >>> 16;
-        hash *= 0x85ebca6b;
-        hash ^= hash >>> 13;
-        hash *= 0xc2b2ae35;
-        hash ^= hash >>> 16;
-        return Integer.toUnsignedLong(hash) / HASH_RANGE;
+        return Integer.toUnsignedLong(RankHash.hash(client.hashCode(), address)) / HASH_RANGE;
     }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -173,9 +173,9 @@
         }
         List<WorkerLoad> ranked = WorkerRanking.ranked(workers);
         boolean anyHealthy = isAnyHealthy(ranked);
-        // The ranges go by the number of engines. With ranges by measured capacity, they moved with the measurements,
-        // parts of
-        // prompts got other preferred engines and were read again there.
+        // By the number of engines: ranges by measured capacity would move with the measurements, and parts of prompts
+        // would
+        // be read again at other preferred engines.
         EnginePartition.Range range = partition.range(prompt.latencyClass(), ranked.size());
         // Ranks and partition must not depend on suspicions. Processes suspect different engines at different times, so
         // they would then disagree on the preferred engines of every part.
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/RankHash.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/RankHash.java
@@ -1,7 +1,7 @@
 package org.dotterelcourse.policy.selection;
 
 /** Hashes names to ranks that are the same in all processes, for example for rendezvous hashing. */
-final class RankHash {
+public final class RankHash {
     private static final int SEED = 0x9747b28c;
     private static final int MULTIPLIER = 0x5bd1e995;
     private static final int OUTER_SHIFT = 13;
@@ -16,7 +16,7 @@
      * @param name name to rank
      * @return rank of the name
      */
-    static int hash(String name) {
+    public static int hash(String name) {
         return hash(0, name);
     }
 
@@ -27,7 +27,7 @@
      * @param name name to rank
      * @return rank of the name for this key
      */
-    static int hash(int key, String name) {
+    public static int hash(int key, String name) {
         int h = key * MULTIPLIER ^ name.hashCode() ^ SEED;
         h ^= h >>> OUTER_SHIFT;
         h *= MULTIPLIER;
