--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/CollectedLoads.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/CollectedLoads.java
@@ -23,9 +23,7 @@
      * @return loads by incarnation of the worker
      */
     public Map<Integer, PeerLoads.Load> all(long nowNanos) {
-        Map<Integer, PeerLoads.Load> sums = new HashMap<>(peerLoads.total(nowNanos));
-        workers.localLoads(nowNanos).forEach((worker, load) -> sums.merge(worker, load, PeerLoads.Load::plus));
-        return sums;
+        return workers.plusLocalLoads(new HashMap<>(peerLoads.total(nowNanos)), nowNanos);
     }
 
     /**
@@ -36,9 +34,7 @@
      * @return loads by incarnation of the worker
      */
     Map<Integer, PeerLoads.Load> excluding(String peer, long nowNanos) {
-        Map<Integer, PeerLoads.Load> sums = peerLoads.totalExcluding(peer, nowNanos);
-        workers.localLoads(nowNanos).forEach((worker, load) -> sums.merge(worker, load, PeerLoads.Load::plus));
-        return sums;
+        return workers.plusLocalLoads(peerLoads.totalExcluding(peer, nowNanos), nowNanos);
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -369,7 +369,8 @@
         return plusLocalLoads(peerLoads.totalOfReporters(nowNanos), nowNanos);
     }
 
-    private Map<Integer, PeerLoads.Load> plusLocalLoads(Map<Integer, PeerLoads.Load> sums, long nowNanos) {
+    /** Adds the loads caused by this process to sums, which are changed. */
+    Map<Integer, PeerLoads.Load> plusLocalLoads(Map<Integer, PeerLoads.Load> sums, long nowNanos) {
         localLoads(nowNanos).forEach((worker, load) -> sums.merge(worker, load, PeerLoads.Load::plus));
         return sums;
     }
