Comment of the expected start: the range, not its measurements

Cause: the comment told three single measurements, which START.md has. Change: the bounds that the constant lies between. Measured: no code changes.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientListener.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientListener.java
@@ -22,7 +22,7 @@
 
     /**
      * Expected ratio of the time from listening to being ready to the time from the first statement of the process to
-     * listening. It was 3.6 at a whole core, 4.8 at 0.27 and 8.0 at 0.12 of a core (docs/design/START.md).
+     * listening: between the 3.6 of a whole core and the 8.0 of 0.12 of a core.
      */
     private static final long START_RATIO = 6;
 
