One base for the operators of a worker's stream

Cause: EventRelay, ResponseBody and StreamDeadline repeated the same subscriber: its context, its subscription and its demand. Change: RelaySubscriber holds these; signals stay where they were. Ruled out: EventWriter on the same base, whose demand does not pass through. Measured: gateway tests, StreamPathTest and PlatformStreamsTest pass.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
@@ -2,11 +2,9 @@
 
 import java.util.List;
 
-import org.reactivestreams.Subscription;
 import reactor.core.CoreSubscriber;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxOperator;
-import reactor.util.context.Context;
 
 /**
  * Passes on the complete events of a worker's stream. One operator in place of a chain of general ones, because a stream
@@ -41,29 +39,16 @@
     }
 
     /** The subscription of one client to one worker's stream. */
-    private static final class Relay implements CoreSubscriber<byte[]>, Subscription {
-        private final CoreSubscriber<? super byte[]> actual;
+    private static final class Relay extends RelaySubscriber<byte[], byte[]> {
         private final Listener listener;
         private final EventFramer framer = new EventFramer();
-        private Subscription upstream;
         private boolean isEnded;
 
         private Relay(CoreSubscriber<? super byte[]> actual, Listener listener) {
-            this.actual = actual;
+            super(actual);
             this.listener = listener;
         }
 
-        @Override
-        public Context currentContext() {
-            return actual.currentContext();
-        }
-
-        @Override
-        public void onSubscribe(Subscription subscription) {
-            upstream = subscription;
-            actual.onSubscribe(this);
-        }
-
         @Override
         public void onNext(byte[] packet) {
             if (isEnded) {
@@ -72,18 +57,18 @@
             listener.onPacket();
             List<EventFramer.Event> events = framer.append(packet);
             if (events.isEmpty()) {
-                upstream.request(1);
+                upstream().request(1);
                 return;
             }
             events.forEach(listener::onEvent);
-            actual.onNext(events.size() == 1 ? events.get(0).bytes() : join(events));
+            actual().onNext(events.size() == 1 ? events.get(0).bytes() : join(events));
         }
 
         @Override
         public void onError(Throwable error) {
             if (!isEnded) {
                 isEnded = true;
-                actual.onError(error);
+                actual().onError(error);
                 listener.onEnd();
             }
         }
@@ -100,20 +85,15 @@
             }
             isEnded = true;
             listener.onCompletion();
-            actual.onComplete();
+            actual().onComplete();
             listener.onEnd();
         }
 
-        @Override
-        public void request(long count) {
-            upstream.request(count);
-        }
-
         @Override
         public void cancel() {
             if (!isEnded) {
                 isEnded = true;
-                upstream.cancel();
+                upstream().cancel();
                 listener.onEnd();
             }
         }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ResponseBody.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ResponseBody.java
@@ -2,11 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import org.reactivestreams.Subscription;
 import reactor.core.CoreSubscriber;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxOperator;
-import reactor.util.context.Context;
 
 /**
  * The body of a worker's response as byte arrays. Closes the connection at the end, unless it may be used for another
@@ -35,35 +33,22 @@
     }
 
     /** The subscription to the body. */
-    private final class Receiver implements CoreSubscriber<ByteBuf>, Subscription {
-        private final CoreSubscriber<? super byte[]> actual;
-        private Subscription upstream;
+    private final class Receiver extends RelaySubscriber<ByteBuf, byte[]> {
         private boolean isComplete;
         private boolean isEnded;
 
         private Receiver(CoreSubscriber<? super byte[]> actual) {
-            this.actual = actual;
-        }
-
-        @Override
-        public Context currentContext() {
-            return actual.currentContext();
-        }
-
-        @Override
-        public void onSubscribe(Subscription subscription) {
-            upstream = subscription;
-            actual.onSubscribe(this);
+            super(actual);
         }
 
         @Override
         public void onNext(ByteBuf buffer) {
-            actual.onNext(ByteBufUtil.getBytes(buffer));
+            actual().onNext(ByteBufUtil.getBytes(buffer));
         }
 
         @Override
         public void onError(Throwable error) {
-            actual.onError(new WorkerConnectionException(true, error));
+            actual().onError(new WorkerConnectionException(true, error));
             end();
         }
 
@@ -72,18 +57,13 @@
             // A client that closes its connection right after the response cancels the subscription before the final
             // signal returns; the body is complete nevertheless.
             isComplete = true;
-            actual.onComplete();
+            actual().onComplete();
             end();
         }
 
-        @Override
-        public void request(long count) {
-            upstream.request(count);
-        }
-
         @Override
         public void cancel() {
-            upstream.cancel();
+            upstream().cancel();
             end();
         }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamDeadline.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamDeadline.java
@@ -8,7 +8,6 @@
 import reactor.core.CoreSubscriber;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxOperator;
-import reactor.util.context.Context;
 
 /**
  * Fails a stream at its deadline, so that the client does not take a stream still in progress for complete. Like {@code
@@ -37,65 +36,52 @@
     }
 
     /** A subscription with its timer. */
-    private final class Timed implements CoreSubscriber<byte[]>, Subscription {
-        private final CoreSubscriber<? super byte[]> actual;
-        private Subscription upstream;
+    private final class Timed extends RelaySubscriber<byte[], byte[]> {
         private ScheduledFuture<?> timer;
         private boolean isEnded;
 
         private Timed(CoreSubscriber<? super byte[]> actual) {
-            this.actual = actual;
-        }
-
-        @Override
-        public Context currentContext() {
-            return actual.currentContext();
+            super(actual);
         }
 
         @Override
         public void onSubscribe(Subscription subscription) {
-            upstream = subscription;
             timer = loop.schedule(this::expire, delayMillis, TimeUnit.MILLISECONDS);
-            actual.onSubscribe(this);
+            super.onSubscribe(subscription);
         }
 
         @Override
         public void onNext(byte[] bytes) {
             if (!isEnded) {
-                actual.onNext(bytes);
+                actual().onNext(bytes);
             }
         }
 
         @Override
         public void onError(Throwable error) {
             if (end()) {
-                actual.onError(error);
+                actual().onError(error);
             }
         }
 
         @Override
         public void onComplete() {
             if (end()) {
-                actual.onComplete();
+                actual().onComplete();
             }
         }
 
-        @Override
-        public void request(long count) {
-            upstream.request(count);
-        }
-
         @Override
         public void cancel() {
             if (end()) {
-                upstream.cancel();
+                upstream().cancel();
             }
         }
 
         private void expire() {
             if (end()) {
-                upstream.cancel();
-                actual.onError(new StreamTimeoutException());
+                upstream().cancel();
+                actual().onError(new StreamTimeoutException());
             }
         }
 
