--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
@@ -24,11 +24,11 @@
     private final RequestQuarantine quarantine;
     private final WorkerProbe probe;
 
-    AttemptFailureHandler(GatewayLoop loop, GatewayState state) {
+    AttemptFailureHandler(GatewayLoop loop, GatewayState state, WorkerProbe probe) {
         this.loop = loop;
         this.state = state;
         this.quarantine = state.quarantine();
-        this.probe = new WorkerProbe(loop);
+        this.probe = probe;
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -1,11 +1,13 @@
 package org.dotterelcourse.gateway.forward;
 
 import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeoutException;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -49,6 +51,7 @@
     private final String dataCentre;
     private final Dialect dialect;
     private final ResponseValidator validator;
+    private final UnaryOperator<InetSocketAddress> addressMapping;
     private GatewayLoop loop;
     private GatewayState state;
     private WorkerClient client;
@@ -64,9 +67,12 @@
      *
      * @param dataCentre the name of the data centre of this process, whose workers are preferred
      * @param dialect the platform-specific headers of workers
+     * @param addressMapping returns the address to connect to for a worker's published address; the identity unless
+     *     connections are to pass a proxy
      */
-    public Forwarder(String dataCentre, Dialect dialect) {
+    public Forwarder(String dataCentre, Dialect dialect, UnaryOperator<InetSocketAddress> addressMapping) {
         this.dataCentre = dataCentre;
+        this.addressMapping = addressMapping;
         this.dialect = dialect;
         this.validator = new ResponseValidator(dialect);
     }
@@ -87,8 +93,8 @@
         state = kernel.find(GatewayState.NAME);
         streamCounters =
                 StreamProgress.Counters.of(kernel.find(GatewayMetrics.NAME).registry());
-        client = new WorkerClient(loop);
-        failureHandler = new AttemptFailureHandler(loop, state);
+        client = new WorkerClient(loop, addressMapping);
+        failureHandler = new AttemptFailureHandler(loop, state, new WorkerProbe(loop, addressMapping));
         statementHandler = new WorkerStatementHandler(dialect, validator, state);
         RandomGenerator random = RandomGenerator.getDefault();
         selection = new WorkerSelection(dataCentre, state, random);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.UnaryOperator;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
@@ -46,8 +47,16 @@
     private static final int MIN_NON_SUCCESS_STATUS = 300;
 
     private final HttpClient client;
+    private final UnaryOperator<InetSocketAddress> addressMapping;
 
-    WorkerClient(GatewayLoop loop) {
+    /**
+     * Creates a client.
+     *
+     * @param loop the event loop of the connections
+     * @param addressMapping returns the address to connect to for a worker's published address
+     */
+    WorkerClient(GatewayLoop loop, UnaryOperator<InetSocketAddress> addressMapping) {
+        this.addressMapping = addressMapping;
         ConnectionProvider pool = ConnectionProvider.builder("workers")
                 .maxConnections(MAX_CONNECTIONS)
                 .maxIdleTime(MAX_IDLE_TIME)
@@ -75,7 +84,7 @@
     Mono<StreamedResponse> send(WorkerEntry worker, HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
         return Mono.defer(() -> {
             AtomicBoolean isSent = new AtomicBoolean();
-            InetSocketAddress address = new InetSocketAddress(worker.host(), worker.port());
+            InetSocketAddress address = addressMapping.apply(new InetSocketAddress(worker.host(), worker.port()));
             return client.remoteAddress(() -> address)
                     .doOnRequest((request, connection) -> isSent.set(true))
                     .headers(requestHeaders -> requestHeaders.clear().add(headers))
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerProbe.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerProbe.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
@@ -22,11 +23,13 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
     private final TcpClient client;
+    private final UnaryOperator<InetSocketAddress> addressMapping;
 
     /** Probes in flight by worker address. All requests that fail together at a worker share one probe. */
     private final Map<String, Mono<Result>> inFlight = new HashMap<>();
 
-    WorkerProbe(GatewayLoop loop) {
+    WorkerProbe(GatewayLoop loop, UnaryOperator<InetSocketAddress> addressMapping) {
+        this.addressMapping = addressMapping;
         client = TcpClient.newConnection()
                 .runOn(loop.resources(), false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
@@ -52,7 +55,7 @@
     }
 
     private Mono<Result> connect(WorkerEntry worker) {
-        InetSocketAddress address = new InetSocketAddress(worker.host(), worker.port());
+        InetSocketAddress address = addressMapping.apply(new InetSocketAddress(worker.host(), worker.port()));
         return client.remoteAddress(() -> address)
                 .connect()
                 .doOnNext(Connection::dispose)
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -43,7 +44,7 @@
             CountDownLatch cancelled = new CountDownLatch(1);
             CompletableFuture<Void> worker =
                     CompletableFuture.runAsync(() -> serveTwoRequests(server, secondRequest, cancelled));
-            WorkerClient client = new WorkerClient(loop);
+            WorkerClient client = new WorkerClient(loop, UnaryOperator.identity());
             WorkerEntry entry = new WorkerEntry("w", 0, "u", "127.0.0.1", server.getLocalPort(), "dc", 1, false, 0);
 
             CountDownLatch firstItem = new CountDownLatch(1);
