--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param readiness the listen address of the readiness endpoint
  * @param addresses the listen address of the endpoint that lists the addresses clients may use
  * @param peers the listen address for peer processes, TCP and UDP
+ * @param relays the listen address for requests that peers relay; empty if this process relays none
  * @param metrics the listen address of the metrics endpoint; empty if it is disabled
  * @param store the address of the platform's store
  * @param changesWithin the maximum time until a published change is in force on every process
@@ -37,6 +38,7 @@
         String readiness,
         String addresses,
         String peers,
+        String relays,
         String metrics,
         String store,
         Duration changesWithin,
@@ -67,6 +69,7 @@
         private String readiness;
         private String addresses;
         private String peers;
+        private String relays = "";
         private String metrics = "";
         private String store;
         private Duration changesWithin;
@@ -179,6 +182,17 @@
             return this;
         }
 
+        /**
+         * Sets the listen address for requests that peers relay; empty by default.
+         *
+         * @param value the value
+         * @return this builder
+         */
+        public Builder relays(String value) {
+            relays = value;
+            return this;
+        }
+
         /**
          * Sets the listen address of the metrics endpoint; empty if it is disabled.
          *
@@ -305,6 +319,7 @@
                     readiness,
                     addresses,
                     peers,
+                    relays,
                     metrics,
                     store,
                     changesWithin,
--- a/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
+++ b/dotterelcourse-configuration/src/main/java/org/dotterelcourse/configuration/GatewaySettingsReader.java
@@ -59,6 +59,7 @@
                 .readiness(listen.required("readiness", ValueType.ADDRESS))
                 .addresses(listen.required("addresses", ValueType.ADDRESS))
                 .peers(listen.required("peers", ValueType.ADDRESS))
+                .relays(listen.optional("relays", ValueType.ADDRESS, ""))
                 .metrics(listen.optional("metrics", ValueType.ADDRESS, ""))
                 .store(platform.required("store", ValueType.ADDRESS))
                 .changesWithin(shortest(
@@ -102,7 +103,7 @@
     private static Map<String, List<String>> keys() {
         Map<String, List<String>> keys = new LinkedHashMap<>();
         keys.put(DAEMON, List.of("name", "data-centre", "region", "grace-seconds", "capacity-share", "capacity-cores"));
-        keys.put(LISTEN, List.of("clients", "readiness", "addresses", "peers", "metrics"));
+        keys.put(LISTEN, List.of("clients", "readiness", "addresses", "peers", "relays", "metrics"));
         keys.put(
                 PLATFORM,
                 List.of(
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/MembershipCodec.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/MembershipCodec.java
@@ -121,7 +121,9 @@
                         .setConfigurationNumber(payload.configurationNumber())
                         .setConfigurationDigest(payload.configurationDigest())
                         .setLoadPermille(payload.loadPermille())
-                        .setCapacityMillicores(payload.capacityMillicores()))
+                        .setCapacityMillicores(payload.capacityMillicores())
+                        .setRelayPort(payload.relayPort())
+                        .setCutOff(payload.cutOff()))
                 .build();
     }
 
@@ -141,7 +143,9 @@
                         payload.getConfigurationNumber(),
                         payload.getConfigurationDigest(),
                         payload.getLoadPermille(),
-                        payload.getCapacityMillicores()),
+                        payload.getCapacityMillicores(),
+                        payload.getRelayPort(),
+                        payload.getCutOff()),
                 proto.getPayloadVersion());
     }
 
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Payload.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Payload.java
@@ -10,6 +10,8 @@
  * @param configurationDigest digest of that configuration
  * @param loadPermille the member's approximate load in thousandths of its capacity
  * @param capacityMillicores processor capacity of the member's VM in thousandths of a core, 0 if unknown
+ * @param relayPort TCP port at which the member sends on requests of other members' clients, 0 if it does not
+ * @param cutOff whether the member has no link to any worker
  */
 public record Payload(
         String clientAddress,
@@ -18,10 +20,12 @@
         long configurationNumber,
         long configurationDigest,
         int loadPermille,
-        int capacityMillicores) {
+        int capacityMillicores,
+        int relayPort,
+        boolean cutOff) {
 
     /**
-     * Creates the payload of a member with unknown capacity.
+     * Creates the payload of a member with unknown capacity, which does not relay requests and is not cut off.
      *
      * @param clientAddress IP address and port at which the member accepts clients, empty while there is none
      * @param dataCentre the member's data centre
@@ -37,7 +41,7 @@
             long configurationNumber,
             long configurationDigest,
             int loadPermille) {
-        this(clientAddress, dataCentre, region, configurationNumber, configurationDigest, loadPermille, 0);
+        this(clientAddress, dataCentre, region, configurationNumber, configurationDigest, loadPermille, 0, 0, false);
     }
 
     /**
@@ -54,7 +58,9 @@
                 configurationNumber,
                 configurationDigest,
                 loadPermille,
-                capacityMillicores);
+                capacityMillicores,
+                relayPort,
+                cutOff);
     }
 
     /**
@@ -65,7 +71,8 @@
      * @return the changed payload
      */
     public Payload withConfiguration(long number, long digest) {
-        return new Payload(clientAddress, dataCentre, region, number, digest, loadPermille, capacityMillicores);
+        return new Payload(
+                clientAddress, dataCentre, region, number, digest, loadPermille, capacityMillicores, relayPort, cutOff);
     }
 
     /**
@@ -82,7 +89,9 @@
                 configurationNumber,
                 configurationDigest,
                 permille,
-                capacityMillicores);
+                capacityMillicores,
+                relayPort,
+                cutOff);
     }
 
     /**
@@ -93,6 +102,52 @@
      */
     public Payload withCapacity(int millicores) {
         return new Payload(
-                clientAddress, dataCentre, region, configurationNumber, configurationDigest, loadPermille, millicores);
+                clientAddress,
+                dataCentre,
+                region,
+                configurationNumber,
+                configurationDigest,
+                loadPermille,
+                millicores,
+                relayPort,
+                cutOff);
+    }
+
+    /**
+     * Returns this payload with another port for relayed requests.
+     *
+     * @param port TCP port, 0 if the member does not relay requests
+     * @return the changed payload
+     */
+    public Payload withRelayPort(int port) {
+        return new Payload(
+                clientAddress,
+                dataCentre,
+                region,
+                configurationNumber,
+                configurationDigest,
+                loadPermille,
+                capacityMillicores,
+                port,
+                cutOff);
+    }
+
+    /**
+     * Returns this payload with another statement of whether the member is cut off.
+     *
+     * @param value whether the member has no link to any worker
+     * @return the changed payload
+     */
+    public Payload withCutOff(boolean value) {
+        return new Payload(
+                clientAddress,
+                dataCentre,
+                region,
+                configurationNumber,
+                configurationDigest,
+                loadPermille,
+                capacityMillicores,
+                relayPort,
+                value);
     }
 }
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/UpdateSize.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/UpdateSize.java
@@ -4,7 +4,7 @@
 final class UpdateSize {
 
     /** Upper bound for numbers, address, state and field tags. */
-    private static final int FIXED_BYTES = 80;
+    private static final int FIXED_BYTES = 86;
 
     private UpdateSize() {}
 
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipCodecPropertyTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipCodecPropertyTest.java
@@ -60,7 +60,9 @@
                 random.nextLong(),
                 random.nextLong(),
                 random.nextInt(1_000),
-                random.nextInt(4_000));
+                random.nextInt(4_000),
+                random.nextInt(65_536),
+                random.nextBoolean());
         MemberState state = MemberState.values()[random.nextInt(4)];
         MemberId id = new MemberId("entry-" + random.nextInt(400), random.nextLong());
         return new Update(id, SimulatedNetwork.address(random.nextInt(60_000)), state, payload, random.nextLong());
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
@@ -31,6 +31,8 @@
         LIMIT,
         /** The time for which a worker has asked this process to send it nothing. */
         BACKOFF,
+        /** Whether this process has a link to any worker. */
+        REACHABILITY,
         /** The measured speed of a worker relative to the others of its upstream. */
         PERFORMANCE,
         /** The shutdown of this process. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
@@ -1,18 +1,16 @@
 package org.dotterelcourse.gateway.edge;
 
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.dotterelcourse.gateway.forward.Call;
 import org.dotterelcourse.gateway.forward.Dialect;
+import org.dotterelcourse.gateway.forward.HopByHopHeaders;
 import org.dotterelcourse.gateway.forward.LocalReply;
 import org.dotterelcourse.gateway.routing.Customer;
 import org.dotterelcourse.gateway.routing.Route;
@@ -28,20 +26,6 @@
     private static final int BAD_REQUEST = 400;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Hop-by-hop headers of RFC 9110, 7.6.1, and headers that each sender of a message sets itself. */
-    private static final Set<String> HOP_BY_HOP_HEADERS = Set.of(
-            "connection",
-            "keep-alive",
-            "proxy-connection",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "content-length",
-            "expect");
-
     private final Dialect dialect;
 
     Admission(Dialect dialect) {
@@ -113,23 +97,12 @@
                 .flatMap(value -> Stream.of(value.split(",")))
                 .map(option -> option.trim().toLowerCase(Locale.ROOT))
                 .collect(Collectors.toSet());
-        return copyWithout(headers, name -> connectionOptions.contains(name) || dialect.isReserved(name));
+        return HopByHopHeaders.remove(headers, name -> connectionOptions.contains(name) || dialect.isReserved(name));
     }
 
     /** Returns a worker's headers without hop-by-hop headers. */
     static HttpHeaders forwardedResponseHeaders(HttpHeaders headers) {
-        return copyWithout(headers, name -> false);
-    }
-
-    private static HttpHeaders copyWithout(HttpHeaders headers, Predicate<String> isExcluded) {
-        HttpHeaders copy = new DefaultHttpHeaders();
-        for (Map.Entry<String, String> header : headers) {
-            String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (!HOP_BY_HOP_HEADERS.contains(name) && !isExcluded.test(name)) {
-                copy.add(header.getKey(), header.getValue());
-            }
-        }
-        return copy;
+        return HopByHopHeaders.remove(headers, name -> false);
     }
 
     private static String path(String uri) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -8,10 +8,6 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.dotterelcourse.daemon.http.BoundedBodyCollector;
@@ -29,9 +25,7 @@
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.routing.RoutingTable;
 import org.reactivestreams.Publisher;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.netty.ByteBufFlux;
 import reactor.netty.ChannelBindException;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -174,6 +168,11 @@
         }
     }
 
+    /** Returns the phase of the process. */
+    Phase phase() {
+        return phase;
+    }
+
     /**
      * Returns the counter of requests in flight.
      *
@@ -194,7 +193,7 @@
                                     .thenReturn(body))
                             .flatMap(body -> serve(request, response, body, arrivalNanos, log));
                 })
-                .takeUntilOther(disconnection(request))
+                .takeUntilOther(HttpReplies.disconnection(request))
                 .onErrorResume(
                         BoundedBodyCollector.TooLargeException.class, error -> sendLocal(response, TOO_LARGE, log))
                 .doOnError(error -> log.recordFailure(error))
@@ -219,16 +218,6 @@
         return dialect.clientTimeoutMillis(request.requestHeaders()).orElse(TIMEOUT_MILLIS_BEFORE_START);
     }
 
-    /** Completes when the client's connection closes. Its listener is removed at the end of the request. */
-    private static Mono<Void> disconnection(HttpServerRequest request) {
-        return Mono.create(sink -> request.withConnection(connection -> {
-            ChannelFuture closeFuture = connection.channel().closeFuture();
-            ChannelFutureListener listener = future -> sink.success();
-            closeFuture.addListener(listener);
-            sink.onDispose(() -> closeFuture.removeListener(listener));
-        }));
-    }
-
     private Mono<byte[]> readBody(HttpServerRequest request) {
         int maxBytes = state.table().map(table -> table.limits().maxBodyBytes()).orElse(MAX_BODY_BYTES_BEFORE_START);
         return new BoundedBodyCollector(maxBytes).collect(request.receive());
@@ -270,32 +259,11 @@
         }
         if (reply instanceof Reply.Buffered buffered) {
             log.setStatus(buffered.status(), "");
-            response.status(buffered.status());
-            response.responseHeaders().add(Admission.forwardedResponseHeaders(buffered.headers()));
-            response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(buffered.body().length));
-            return response.sendObject(Unpooled.wrappedBuffer(buffered.body())).then();
+            return HttpReplies.send(response, buffered);
         }
         Reply.Streamed streamed = (Reply.Streamed) reply;
         log.setStatus(streamed.status(), "");
-        response.status(streamed.status());
-        response.responseHeaders().add(Admission.forwardedResponseHeaders(streamed.headers()));
-        response.chunkedTransfer(true);
-        return sendEvents(response, streamed).doOnError(error -> {
-            log.recordFailure(error);
-            response.withConnection(connection -> connection.channel().close());
-        });
-    }
-
-    private Mono<Void> sendEvents(HttpServerResponse response, Reply.Streamed streamed) {
-        return StreamSender.send(Flux.from(streamed.events()), events -> {
-            if (EventWriter.isApplicable(response)) {
-                return response.then(new EventWriter(events, EventWriter.channel(response), flushes))
-                        .then();
-            }
-            Flux<ByteBuf> buffers = events.map(Unpooled::wrappedBuffer);
-            return response.send(ByteBufFlux.fromInbound(buffers), buffer -> true)
-                    .then();
-        });
+        return HttpReplies.send(response, streamed, flushes, log::recordFailure);
     }
 
     private static Mono<Void> sendLocal(HttpServerResponse response, LocalReply reply, RequestLog log) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestLog.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestLog.java
@@ -48,6 +48,9 @@
             MDC.put("route", call.attributes().route().name());
             MDC.put("customer", call.attributes().customer());
             MDC.put("worker", call.lastWorkerId());
+            if (!call.relayPeer().isEmpty()) {
+                MDC.put("relay", call.relayPeer());
+            }
             MDC.put("sends", Integer.toString(call.sendCount()));
             MDC.put("waitedMillis", Long.toString(call.firstSendMillis()));
             MDC.put("urgency", Integer.toString(call.attributes().priority()));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ClientAddresses.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ClientAddresses.java
@@ -162,6 +162,14 @@
         if (suspected.size() >= serving.size()) {
             serving.addAll(suspected);
         }
+        // Members without a link to the workers serve through others, at twice the cost. If all state that they have
+        // none,
+        // none of them is better than another.
+        List<Member> linked =
+                serving.stream().filter(member -> !member.payload().cutOff()).toList();
+        if (!linked.isEmpty()) {
+            serving = linked;
+        }
         long nowNanos = loop.nowNanos();
         // Members that are suspected for a while have not restarted, so all that are in the view are kept.
         firstSeenNanos.keySet().retainAll(peers.view().stream().map(Member::id).collect(Collectors.toSet()));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
@@ -22,13 +22,13 @@
     private final GatewayLoop loop;
     private final GatewayState state;
     private final RequestQuarantine quarantine;
-    private final WorkerProbe probe;
+    private final Reachability reachability;
 
-    AttemptFailureHandler(GatewayLoop loop, GatewayState state, WorkerProbe probe) {
+    AttemptFailureHandler(GatewayLoop loop, GatewayState state, Reachability reachability) {
         this.loop = loop;
         this.state = state;
         this.quarantine = state.quarantine();
-        this.probe = probe;
+        this.reachability = reachability;
     }
 
     /**
@@ -42,7 +42,8 @@
     Mono<Void> handleFailure(Call call, WorkerEntry worker, String reason) {
         FailedAttempt attempt = new FailedAttempt(
                 call, worker, reason, call.millisSinceSend(loop.nowNanos()), call.attemptEventCount());
-        Mono<Void> handled = probe.probe(worker)
+        Mono<Void> handled = reachability
+                .probeOnce(worker)
                 .doOnNext(result -> handleProbeResult(attempt, result))
                 .then()
                 .cache();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -1,9 +1,11 @@
 package org.dotterelcourse.gateway.forward;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.dotterelcourse.gateway.routing.Route;
@@ -36,6 +38,11 @@
     private long sentNanos;
     private long firstSendMillis;
     private String lastWorkerId = "";
+    private final Set<String> failedPeers = new HashSet<>();
+    private boolean isForPeer;
+    private boolean wasPlaced;
+    private String relayPeer = "";
+    private long relayRetryAfterMillis;
 
     /**
      * Properties of a request that are determined at its admission.
@@ -129,11 +136,107 @@
         }
         sentNanos = nowNanos;
         attemptEventCount = 0;
+        wasPlaced = true;
         triedWorkers.add(workerId);
         lastWorkerId = workerId;
         sendCount++;
     }
 
+    /**
+     * Records what a peer has done with the request.
+     *
+     * @param workerId the worker that the peer has sent the request to last, or empty
+     * @param sends number of workers that the peer has sent the request to
+     */
+    void recordRelayedSends(String workerId, int sends) {
+        sendCount += sends;
+        if (!workerId.isEmpty()) {
+            triedWorkers.add(workerId);
+            lastWorkerId = workerId;
+        }
+    }
+
+    /** Records that the request is about to be relayed to a peer. */
+    void recordRelay(String peer, long nowNanos) {
+        if (sentNanos == 0) {
+            firstSendMillis = (nowNanos - attributes.arrivalNanos()) / NANOS_PER_MILLI;
+        }
+        sentNanos = nowNanos;
+        attemptEventCount = 0;
+        relayPeer = peer;
+    }
+
+    /** Records when a peer has asked the client to retry. */
+    void recordRelayRetryAfter(long millis) {
+        relayRetryAfterMillis = millis;
+    }
+
+    /** Returns the time in milliseconds after which the client should retry according to a peer; 0 if there is none. */
+    long relayRetryAfterMillis() {
+        return relayRetryAfterMillis;
+    }
+
+    /** Returns the headers of the request to a worker. */
+    HttpHeaders workerHeaders(Dialect dialect, String workerId, String fetchFrom, long nowNanos) {
+        HttpHeaders toWorker = new DefaultHttpHeaders().add(headers);
+        dialect.addWorkerHeaders(
+                toWorker,
+                new Dialect.WorkerRequestInfo(
+                        workerId,
+                        attributes.customer(),
+                        Math.max(1, remainingMillis(nowNanos)),
+                        attributes.priority(),
+                        attributes.upstream().engine(),
+                        fetchFrom));
+        if (!lastEventId.isEmpty()) {
+            toWorker.set(dialect.lastEventIdHeader(), lastEventId);
+        }
+        return toWorker;
+    }
+
+    /**
+     * Continues the attempts of a peer, for whose client the request is sent.
+     *
+     * @param excludedWorkers ids of workers that must not get the request
+     * @param retried whether a worker has had the request before
+     * @param resumeAfterEventId id of the last event that the client has got, or empty
+     */
+    public void continueForPeer(List<String> excludedWorkers, boolean retried, String resumeAfterEventId) {
+        isForPeer = true;
+        wasPlaced = retried;
+        triedWorkers.addAll(excludedWorkers);
+        lastEventId = resumeAfterEventId;
+    }
+
+    /** Returns whether the request is one of a peer's client. Such a request is not relayed to another peer. */
+    boolean isForPeer() {
+        return isForPeer;
+    }
+
+    /** Returns whether a worker was selected for the request before, by this process or by the peer that has it. */
+    boolean wasPlaced() {
+        return wasPlaced;
+    }
+
+    /** Records that the peer to which the request was relayed last has not reached a worker, or not answered. */
+    void recordRelayFailure() {
+        failedPeers.add(relayPeer);
+    }
+
+    /** Returns the peers that must not get the request again. */
+    Set<String> failedPeers() {
+        return failedPeers;
+    }
+
+    /**
+     * Returns the peer that the request was last relayed to.
+     *
+     * @return the name of the peer, or empty if the request was not relayed
+     */
+    public String relayPeer() {
+        return relayPeer;
+    }
+
     /** Records that the worker was not reached. It received nothing, so the send does not count. */
     void recordConnectFailure() {
         sendCount--;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineQueues.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineQueues.java
@@ -89,7 +89,7 @@
 
     /** Returns whether a call must pass the queue. Retries bypass it, so that no call is queued twice. */
     static boolean isQueueable(Call call) {
-        return isDelayTolerant(call) && call.triedWorkers().isEmpty();
+        return isDelayTolerant(call) && !call.wasPlaced();
     }
 
     /** Returns whether a call's latency target is longer than the time in which an engine processes a long prompt. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -1,17 +1,14 @@
 package org.dotterelcourse.gateway.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeoutException;
-import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
+import com.codahale.metrics.MetricRegistry;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
 import org.dotterelcourse.daemon.kernel.ServiceName;
@@ -20,8 +17,8 @@
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.workers.Placement;
+import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.policy.quarantine.Verdict;
-import org.dotterelcourse.policy.selection.EngineModel;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -51,7 +48,6 @@
     private final String dataCentre;
     private final Dialect dialect;
     private final ResponseValidator validator;
-    private final UnaryOperator<InetSocketAddress> addressMapping;
     private GatewayLoop loop;
     private GatewayState state;
     private WorkerClient client;
@@ -60,19 +56,18 @@
     private SharedBackoff sharedBackoff;
     private AttemptFailureHandler failureHandler;
     private WorkerStatementHandler statementHandler;
-    private StreamProgress.Counters streamCounters;
+    private StreamForwarder streams;
+    private Reachability reachability;
+    private RelayAttempts relays;
 
     /**
      * Creates a forwarder.
      *
      * @param dataCentre the name of the data centre of this process, whose workers are preferred
      * @param dialect the platform-specific headers of workers
-     * @param addressMapping returns the address to connect to for a worker's published address; the identity unless
-     *     connections are to pass a proxy
      */
-    public Forwarder(String dataCentre, Dialect dialect, UnaryOperator<InetSocketAddress> addressMapping) {
+    public Forwarder(String dataCentre, Dialect dialect) {
         this.dataCentre = dataCentre;
-        this.addressMapping = addressMapping;
         this.dialect = dialect;
         this.validator = new ResponseValidator(dialect);
     }
@@ -84,17 +79,19 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(GatewayLoop.NAME, GatewayState.NAME, GatewayMetrics.NAME);
+        return List.of(GatewayLoop.NAME, GatewayState.NAME, GatewayMetrics.NAME, Reachability.NAME);
     }
 
     @Override
     public List<StartupFailure> start(Kernel kernel) {
         loop = kernel.find(GatewayLoop.NAME);
         state = kernel.find(GatewayState.NAME);
-        streamCounters =
-                StreamProgress.Counters.of(kernel.find(GatewayMetrics.NAME).registry());
-        client = new WorkerClient(loop, addressMapping);
-        failureHandler = new AttemptFailureHandler(loop, state, new WorkerProbe(loop, addressMapping));
+        reachability = kernel.find(Reachability.NAME);
+        client = new WorkerClient(loop, reachability.addressMapping());
+        failureHandler = new AttemptFailureHandler(loop, state, reachability);
+        MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
+        relays = new RelayAttempts(loop, reachability, metrics);
+        streams = new StreamForwarder(loop, state, reachability, failureHandler, metrics);
         statementHandler = new WorkerStatementHandler(dialect, validator, state);
         RandomGenerator random = RandomGenerator.getDefault();
         selection = new WorkerSelection(dataCentre, state, random);
@@ -103,6 +100,15 @@
         return List.of();
     }
 
+    /**
+     * Sets the peers to which requests are relayed while this process has no link to the workers.
+     *
+     * @param peers the peers
+     */
+    public void relayThrough(RelayPeers peers) {
+        relays.setPeers(peers);
+    }
+
     @Override
     public void stop() {
         // The connections are closed with the event loop.
@@ -122,6 +128,20 @@
         });
     }
 
+    /**
+     * Forwards a peer's request to one worker, and never to another process. The peer has counted the request for the retry
+     * budget and decides on retries, for which the call's route allows none.
+     *
+     * @param call the request
+     * @return the reply to the peer, exactly one
+     */
+    public Mono<Reply> forwardForPeer(Call call) {
+        return Mono.defer(() -> {
+            selection.recordArrival(call, loop.nowNanos());
+            return attempt(call, Optional.empty());
+        });
+    }
+
     /** Rejects all queued calls, when the process no longer accepts requests. May be called from any thread. */
     public void rejectQueued() {
         loop.execute(queues::rejectAll);
@@ -137,6 +157,10 @@
             return Mono.just(quarantineReply(call, earlierResponse, quarantined));
         }
         call.setSuspect(verdict instanceof Verdict.Suspect);
+        Optional<RelayTarget> peer = relays.target(call);
+        if (peer.isPresent()) {
+            return sendToPeer(call, peer.get(), earlierResponse);
+        }
         if (EngineQueues.isQueueable(call)) {
             return queues.admit(call).flatMap(result -> afterQueue(call, result));
         }
@@ -153,7 +177,7 @@
     private Mono<Reply> sendToSelected(
             Call call, WorkerSelection.Outcome outcome, Optional<BufferedResponse> earlierResponse) {
         if (!(outcome instanceof WorkerSelection.Outcome.Placed placed)) {
-            return Mono.just(finalReply(call, earlierResponse, "no worker is free"));
+            return Mono.just(finalReply(call, earlierResponse, relays.explain(call, "no worker is free")));
         }
         Placement placement = placed.placement();
         if (failureHandler.verdict(call) instanceof Verdict.Quarantined quarantined) {
@@ -172,18 +196,53 @@
 
     private Mono<Reply> send(Call call, WorkerSelection.Outcome.Placed placed) {
         Placement placement = placed.placement();
-        return client.send(placement.entry(), call.method(), call.uri(), workerHeaders(call, placed), call.body())
+        WorkerEntry worker = placement.entry();
+        return client.send(
+                        new InetSocketAddress(worker.host(), worker.port()),
+                        call.method(),
+                        call.uri(),
+                        call.workerHeaders(dialect, worker.id(), placed.fetchFrom(), loop.nowNanos()),
+                        call.body(),
+                        reachability.listener(worker))
+                .doOnNext(response -> reachability.recordReceived(loop.nowNanos()))
+                .transform(response -> relays.abortWhenCutOff(call, response))
                 .flatMap(response -> handleResponse(call, placement, response))
                 .doOnError(error -> placement.end());
     }
 
+    /** Relays the request to a peer. The retries and the deadline are those of a request to a worker. */
+    private Mono<Reply> sendToPeer(Call call, RelayTarget peer, Optional<BufferedResponse> earlierResponse) {
+        long nowNanos = loop.nowNanos();
+        call.recordRelay(peer.name(), nowNanos);
+        Placement placement = relays.placement(call, state, nowNanos);
+        return relays.send(call, peer)
+                .flatMap(result -> handleRelayResult(call, peer, result, earlierResponse))
+                .timeout(Duration.ofMillis(call.remainingMillis(nowNanos) + DEADLINE_GRACE_MILLIS), loop.scheduler())
+                .onErrorResume(TimeoutException.class, error -> Mono.just(handleTimeout(call, placement)))
+                .onErrorResume(
+                        WorkerConnectionException.class,
+                        error -> handleResult(call, placement, relays.toResult(call, peer, error), earlierResponse));
+    }
+
+    private Mono<Reply> handleRelayResult(
+            Call call, RelayTarget peer, RelayResult result, Optional<BufferedResponse> earlierResponse) {
+        Placement placement = relays.placement(call, state, loop.nowNanos());
+        if (result instanceof RelayResult.Responded responded) {
+            return handleResponse(call, placement, responded.response());
+        }
+        if (result instanceof RelayResult.NotExecuted notExecuted) {
+            call.recordRelayRetryAfter(notExecuted.retryAfterMillis());
+        }
+        return handleResult(call, placement, relays.toResult(call, peer, result), earlierResponse);
+    }
+
     private Mono<Reply> handleResponse(Call call, Placement placement, StreamedResponse response) {
         statementHandler.handle(call, placement.entry(), response, loop.nowNanos());
         if (validator.isStreamable(call, response)) {
-            Flux<byte[]> events = relay(call, placement, response);
+            Flux<byte[]> events = streams.forward(call, placement, response, error -> resume(call, placement, error));
             return Mono.just(new Reply.Streamed(response.status(), response.headers(), events));
         }
-        return collect(response)
+        return BufferedResponse.collect(response)
                 .doFinally(signal -> placement.end())
                 .doOnNext(buffered -> closeUnlessFromWorker(call, response))
                 .flatMap(buffered ->
@@ -197,12 +256,6 @@
         }
     }
 
-    private static Mono<BufferedResponse> collect(StreamedResponse response) {
-        return response.body()
-                .collect(ByteArrayOutputStream::new, ByteArrayOutputStream::writeBytes)
-                .map(bytes -> new BufferedResponse(response.status(), response.headers(), bytes.toByteArray()));
-    }
-
     private Mono<Reply> handleConnectionFailure(
             Call call,
             Placement placement,
@@ -240,10 +293,10 @@
         if (result instanceof AttemptResult.NotExecuted notExecuted) {
             boolean shouldRetry = notExecuted.wasReached()
                     ? tryAcquireRetry(call, nowNanos)
-                    : call.connectFailureCount() < MAX_CONNECT_FAILURES;
+                    : relays.mayTryAgain(call, MAX_CONNECT_FAILURES);
             return shouldRetry
                     ? attempt(call, earlierResponse)
-                    : Mono.just(finalReply(call, earlierResponse, notExecuted.reason()));
+                    : Mono.just(finalReply(call, earlierResponse, relays.explain(call, notExecuted.reason())));
         }
         call.markPossiblyExecuted();
         AttemptResult.Unknown unknown = (AttemptResult.Unknown) result;
@@ -264,14 +317,14 @@
                 placement.recordPlainResponse(nowNanos);
             }
             failureHandler.recordFinished(call);
-            return Mono.just(toReply(response));
+            return Mono.just(response.toReply());
         }
         placement.recordErrorResponse(nowNanos);
         call.markPossiblyExecuted();
         if (call.attributes().route().isRetryable() && tryAcquireRetry(call, nowNanos)) {
             return attempt(call, Optional.of(response));
         }
-        return Mono.just(toReply(response));
+        return Mono.just(response.toReply());
     }
 
     /** Returns whether the call may be sent again, and if so takes the retry from the upstream's budget. */
@@ -281,50 +334,16 @@
                 && state.retryBudget(call.attributes().upstream().name()).tryAcquire(nowNanos);
     }
 
-    private Flux<byte[]> relay(Call call, Placement placement, StreamedResponse response) {
-        StreamProgress progress = new StreamProgress(
-                streamCounters,
-                placement,
-                event -> {
-                    long nowNanos = loop.nowNanos();
-                    placement.recordEvent(call.attributes().upstream().tokensPerEvent(), nowNanos);
-                    call.recordEvent(event.id(), nowNanos);
-                    recordEventTiming(call);
-                },
-                () -> recordCompletion(call, placement));
-        Flux<byte[]> events = new EventRelay(response.body(), progress)
-                .onErrorResume(WorkerConnectionException.class, error -> resume(call, placement, error));
-        long delayMillis = Math.max(0, call.remainingMillis(loop.nowNanos())) + DEADLINE_GRACE_MILLIS;
-        return new StreamDeadline(events, loop.eventLoop(), delayMillis);
-    }
-
-    private void recordEventTiming(Call call) {
-        EngineModel model = state.engineModel(call.attributes().upstream().name());
-        if (call.eventCount() > 1) {
-            model.recordEventGap(
-                    call.lastEventGapMillis(), call.attributes().upstream().tokensPerEvent());
-        } else if (EngineQueues.isDelayTolerant(call)) {
-            model.recordFirstEvent(call.millisSinceSend(loop.nowNanos()));
-        }
-    }
-
-    private void recordCompletion(Call call, Placement placement) {
-        placement.recordSuccess(loop.nowNanos());
-        placement.recordStreamEnd(call.attributes().upstream().tokensPerEvent(), loop.nowNanos());
-        failureHandler.recordFinished(call);
-        if (EngineQueues.isDelayTolerant(call)) {
-            int tokens = call.eventCount() * call.attributes().upstream().tokensPerEvent();
-            state.engineModel(call.attributes().upstream().name()).recordCompletion(tokens);
-        }
-    }
-
     /**
      * Resumes a broken stream after its last complete event at another worker. The first worker has stopped, because its
      * connection is closed.
      */
     private Flux<byte[]> resume(Call call, Placement placement, WorkerConnectionException error) {
         placement.recordFailure(loop.nowNanos());
-        Mono<Void> handled = failureHandler.handleFailure(call, placement.entry(), error.getMessage());
+        // A peer probes the worker itself.
+        Mono<Void> handled = placement.isAtPeer()
+                ? Mono.empty()
+                : failureHandler.handleFailure(call, placement.entry(), error.getMessage());
         if (!call.attributes().route().isRetryable()) {
             return Flux.error(error);
         }
@@ -339,25 +358,6 @@
                 .flatMapMany(reply -> reply instanceof Reply.Streamed streamed ? streamed.events() : Flux.error(error));
     }
 
-    private HttpHeaders workerHeaders(Call call, WorkerSelection.Outcome.Placed placed) {
-        HttpHeaders headers = new DefaultHttpHeaders().add(call.headers());
-        Call.Attributes attributes = call.attributes();
-        long remainingMillis = Math.max(1, call.remainingMillis(loop.nowNanos()));
-        dialect.addWorkerHeaders(
-                headers,
-                new Dialect.WorkerRequestInfo(
-                        placed.placement().entry().id(),
-                        attributes.customer(),
-                        remainingMillis,
-                        attributes.priority(),
-                        attributes.upstream().engine(),
-                        placed.fetchFrom()));
-        if (!call.lastEventId().isEmpty()) {
-            headers.set(dialect.lastEventIdHeader(), call.lastEventId());
-        }
-        return headers;
-    }
-
     /** Handles a deadline that passes while a worker has the request, which may still be running there. */
     private Reply handleTimeout(Call call, Placement placement) {
         placement.end();
@@ -372,7 +372,7 @@
      */
     private Reply finalReply(Call call, Optional<BufferedResponse> earlierResponse, String reason) {
         if (earlierResponse.isPresent()) {
-            return toReply(earlierResponse.get());
+            return earlierResponse.get().toReply();
         }
         if (call.isPossiblyExecuted()) {
             return new Reply.Local(LocalReply.possiblyExecuted(reason));
@@ -381,7 +381,8 @@
         return new Reply.Local(
                 backoff.isPresent()
                         ? LocalReply.notExecuted(SharedBackoff.REASON + ", " + reason, backoff.getAsLong())
-                        : LocalReply.notExecuted(reason, RETRY_AFTER_FULL_MILLIS));
+                        : LocalReply.notExecuted(
+                                reason, Math.max(RETRY_AFTER_FULL_MILLIS, call.relayRetryAfterMillis())));
     }
 
     /** Rejects a quarantined request, unless a worker has responded to it before or may have executed it. */
@@ -393,8 +394,4 @@
                 ? new Reply.Local(LocalReply.notExecuted(reason, quarantined.retryAfterMillis()))
                 : finalReply(call, earlierResponse, reason);
     }
-
-    private static Reply toReply(BufferedResponse response) {
-        return new Reply.Buffered(response.status(), response.headers(), response.body());
-    }
 }
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayClient.java
@@ -0,0 +1,120 @@
+package org.dotterelcourse.gateway.forward;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+
+import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import org.dotterelcourse.gateway.GatewayLoop;
+import org.dotterelcourse.gateway.forward.generated.RelayProtos;
+import org.dotterelcourse.gateway.routing.Route;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
+
+/** Relays requests to peers, which send them to one worker each. */
+final class RelayClient {
+    private static final Logger LOG = Logger.getLogger(RelayClient.class);
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final GatewayLoop loop;
+    private final WorkerClient client;
+    private String self = "";
+
+    RelayClient(GatewayLoop loop) {
+        this.loop = loop;
+        this.client = new WorkerClient(loop, UnaryOperator.identity());
+    }
+
+    /** Sets the name of this process, for the peers' logs. */
+    void setSelf(String name) {
+        self = name;
+    }
+
+    /**
+     * Relays a request to a peer. Cancelling the subscription closes the connection, upon which the peer cancels the request
+     * at its worker.
+     *
+     * @param call the request, on which the workers that the peer has used are recorded
+     * @param target the peer
+     * @param excludedWorkers workers that must not get the request, in addition to those that had it
+     * @return the peer's answer, or an error of type {@link WorkerConnectionException}
+     */
+    Mono<RelayResult> send(Call call, RelayTarget target, List<String> excludedWorkers) {
+        return Mono.defer(() -> {
+            byte[] body = encode(call, excludedWorkers).toByteArray();
+            HttpHeaders headers = new DefaultHttpHeaders()
+                    .set(HttpHeaderNames.HOST, target.name())
+                    .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            return client.send(
+                            target.address(),
+                            HttpMethod.POST,
+                            RelayHeaders.PATH,
+                            headers,
+                            body,
+                            WorkerClient.ConnectListener.NONE)
+                    .flatMap(response -> toResult(call, response));
+        });
+    }
+
+    private RelayProtos.RelayRequest encode(Call call, List<String> excludedWorkers) {
+        Call.Attributes attributes = call.attributes();
+        Route route = attributes.route();
+        long nowNanos = loop.nowNanos();
+        RelayProtos.RelayRequest.Builder request = RelayProtos.RelayRequest.newBuilder()
+                .setId(attributes.id())
+                .setMethod(call.method().name())
+                .setUri(call.uri())
+                .setBody(ByteString.copyFrom(call.body()))
+                .setUpstream(attributes.upstream().name())
+                .setRoute(route.name())
+                .setCustomer(attributes.customer())
+                .setPriority(attributes.priority())
+                .setStreaming(route.isStreaming())
+                .setTimeoutMillis(route.timeoutMillis())
+                .setTargetMillis(route.targetMillis())
+                .setGapTargetMillis(route.gapTargetMillis())
+                .setElapsedMillis(Math.max(0, (nowNanos - attributes.arrivalNanos()) / NANOS_PER_MILLI))
+                .setRemainingMillis(Math.max(0, call.remainingMillis(nowNanos)))
+                .addAllExcludedWorkers(call.triedWorkers())
+                .addAllExcludedWorkers(excludedWorkers)
+                .setLastEventId(call.lastEventId())
+                .setRetried(call.wasPlaced() || call.sendCount() > 0)
+                .setSender(self);
+        for (Map.Entry<String, String> header : call.headers()) {
+            request.addHeaderNames(header.getKey()).addHeaderValues(header.getValue());
+        }
+        return request.build();
+    }
+
+    private static Mono<RelayResult> toResult(Call call, StreamedResponse response) {
+        HttpHeaders headers = response.headers();
+        String outcome = headers.get(RelayHeaders.OUTCOME, "");
+        String reason = headers.get(RelayHeaders.REASON, "");
+        int sends = (int) number(headers, RelayHeaders.SENDS);
+        long retryAfterMillis = number(headers, RelayHeaders.RETRY_MILLIS);
+        call.recordRelayedSends(headers.get(RelayHeaders.WORKER, ""), sends);
+        RelayHeaders.removeFrom(headers);
+        if (outcome.equals(RelayHeaders.RESPONDED)) {
+            return Mono.just(new RelayResult.Responded(response));
+        }
+        RelayResult result = outcome.equals(RelayHeaders.NOT_EXECUTED)
+                ? new RelayResult.NotExecuted(reason, sends > 0, retryAfterMillis)
+                : new RelayResult.Unknown(outcome.isEmpty() ? "answer has no outcome" : reason);
+        return response.body().then(Mono.just(result));
+    }
+
+    private static long number(HttpHeaders headers, String name) {
+        String text = headers.get(name, "0");
+        try {
+            return Math.max(0, Long.parseLong(text));
+        } catch (NumberFormatException e) {
+            LOG.warnf("a peer's answer has the value '%s' for %s in place of a number, 0 is used", text, name);
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayHeaders.java
@@ -0,0 +1,43 @@
+package org.dotterelcourse.gateway.forward;
+
+import java.util.List;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Headers of a peer's response to a relayed request, in addition to those of the worker's response. */
+public final class RelayHeaders {
+    /** Path of relayed requests. */
+    public static final String PATH = "/relay";
+
+    /** One of the values below. A response without it was not sent by a peer that relays requests. */
+    public static final String OUTCOME = "Relay-Outcome";
+
+    /** Status, headers and body are those of a worker. */
+    public static final String RESPONDED = "responded";
+
+    /** No worker has executed the request or will. */
+    public static final String NOT_EXECUTED = "not-executed";
+
+    /** A worker may have executed the request. */
+    public static final String UNKNOWN = "unknown";
+
+    /** Id of the worker that the request was last sent to; absent if it was sent to none. */
+    public static final String WORKER = "Relay-Worker";
+
+    /** Number of workers that the request was sent to. */
+    public static final String SENDS = "Relay-Sends";
+
+    /** Why no worker's response is passed on. */
+    public static final String REASON = "Relay-Reason";
+
+    /** Time in milliseconds after which a request that was not executed should be retried. */
+    public static final String RETRY_MILLIS = "Relay-Retry-Millis";
+
+    private static final List<String> ALL = List.of(OUTCOME, WORKER, SENDS, REASON, RETRY_MILLIS);
+
+    private RelayHeaders() {}
+
+    static void removeFrom(HttpHeaders headers) {
+        ALL.forEach(headers::remove);
+    }
+}
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
@@ -0,0 +1,84 @@
+package org.dotterelcourse.gateway.forward;
+
+import java.util.function.Function;
+
+import com.codahale.metrics.MetricRegistry;
+import org.dotterelcourse.gateway.GatewayLoop;
+import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.workers.Placement;
+import org.dotterelcourse.policy.selection.EngineModel;
+import reactor.core.publisher.Flux;
+
+/** Passes on the event streams of workers, and records their progress and timings. */
+final class StreamForwarder {
+    /** Time for a response that the worker sends at the deadline to arrive. */
+    private static final long DEADLINE_GRACE_MILLIS = 60;
+
+    private final GatewayLoop loop;
+    private final GatewayState state;
+    private final Reachability reachability;
+    private final AttemptFailureHandler failureHandler;
+    private final StreamProgress.Counters counters;
+
+    StreamForwarder(
+            GatewayLoop loop,
+            GatewayState state,
+            Reachability reachability,
+            AttemptFailureHandler failureHandler,
+            MetricRegistry metrics) {
+        this.loop = loop;
+        this.state = state;
+        this.reachability = reachability;
+        this.failureHandler = failureHandler;
+        this.counters = StreamProgress.Counters.of(metrics);
+    }
+
+    /**
+     * Passes on the events of one attempt.
+     *
+     * @param resume returns the further events after the connection has failed, or an error
+     */
+    Flux<byte[]> forward(
+            Call call,
+            Placement placement,
+            StreamedResponse response,
+            Function<WorkerConnectionException, Flux<byte[]>> resume) {
+        StreamProgress progress = new StreamProgress(
+                counters,
+                placement,
+                event -> {
+                    long nowNanos = loop.nowNanos();
+                    if (!placement.isAtPeer()) {
+                        reachability.recordReceived(nowNanos);
+                    }
+                    placement.recordEvent(call.attributes().upstream().tokensPerEvent(), nowNanos);
+                    call.recordEvent(event.id(), nowNanos);
+                    recordEventTiming(call);
+                },
+                () -> recordCompletion(call, placement));
+        Flux<byte[]> events =
+                new EventRelay(response.body(), progress).onErrorResume(WorkerConnectionException.class, resume);
+        long delayMillis = Math.max(0, call.remainingMillis(loop.nowNanos())) + DEADLINE_GRACE_MILLIS;
+        return new StreamDeadline(events, loop.eventLoop(), delayMillis);
+    }
+
+    private void recordEventTiming(Call call) {
+        EngineModel model = state.engineModel(call.attributes().upstream().name());
+        if (call.eventCount() > 1) {
+            model.recordEventGap(
+                    call.lastEventGapMillis(), call.attributes().upstream().tokensPerEvent());
+        } else if (EngineQueues.isDelayTolerant(call)) {
+            model.recordFirstEvent(call.millisSinceSend(loop.nowNanos()));
+        }
+    }
+
+    private void recordCompletion(Call call, Placement placement) {
+        placement.recordSuccess(loop.nowNanos());
+        placement.recordStreamEnd(call.attributes().upstream().tokensPerEvent(), loop.nowNanos());
+        failureHandler.recordFinished(call);
+        if (EngineQueues.isDelayTolerant(call)) {
+            int tokens = call.eventCount() * call.attributes().upstream().tokensPerEvent();
+            state.engineModel(call.attributes().upstream().name()).recordCompletion(tokens);
+        }
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/UnsolicitedDataHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/UnsolicitedDataHandler.java
@@ -19,6 +19,7 @@
     private static final Logger LOG = Logger.getLogger(UnsolicitedDataHandler.class);
 
     private boolean isIdle;
+    private boolean isUsed;
 
     /** Adds a handler between the HTTP codec and Reactor Netty's own handler, which would consume all messages. */
     static void install(Channel channel) {
@@ -38,6 +39,16 @@
         }
     }
 
+    /** Returns whether no request was sent on the connection before, and records that one is sent now. */
+    static boolean isFirstRequest(Connection connection) {
+        UnsolicitedDataHandler handler = connection.channel().pipeline().get(UnsolicitedDataHandler.class);
+        boolean first = handler != null && !handler.isUsed;
+        if (handler != null) {
+            handler.isUsed = true;
+        }
+        return first;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (!isIdle) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.forward;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -10,7 +11,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.dotterelcourse.gateway.GatewayLoop;
-import org.dotterelcourse.gateway.workers.WorkerEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -49,6 +49,18 @@
     private final HttpClient client;
     private final UnaryOperator<InetSocketAddress> addressMapping;
 
+    /** Is notified of the outcome of each connection attempt. */
+    interface ConnectListener {
+        /** Ignores all outcomes. */
+        ConnectListener NONE = new ConnectListener() {};
+
+        /** The connection was established. */
+        default void onConnect() {}
+
+        /** The connection was refused or timed out. */
+        default void onConnectFailure() {}
+    }
+
     /**
      * Creates a client.
      *
@@ -74,19 +86,31 @@
     /**
      * Sends a request.
      *
-     * @param worker the worker to send it to
+     * @param worker the address of the worker to send it to
      * @param method the HTTP method
      * @param uri the path and query, sent unchanged
      * @param headers the request headers, sent unchanged
      * @param body the request body
+     * @param listener is notified if a connection is opened for the request
      * @return the response once its headers have arrived, or an error of type {@link WorkerConnectionException}
      */
-    Mono<StreamedResponse> send(WorkerEntry worker, HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+    Mono<StreamedResponse> send(
+            InetSocketAddress worker,
+            HttpMethod method,
+            String uri,
+            HttpHeaders headers,
+            byte[] body,
+            ConnectListener listener) {
         return Mono.defer(() -> {
             AtomicBoolean isSent = new AtomicBoolean();
-            InetSocketAddress address = addressMapping.apply(new InetSocketAddress(worker.host(), worker.port()));
+            InetSocketAddress address = addressMapping.apply(worker);
             return client.remoteAddress(() -> address)
-                    .doOnRequest((request, connection) -> isSent.set(true))
+                    .doOnRequest((request, connection) -> {
+                        isSent.set(true);
+                        if (UnsolicitedDataHandler.isFirstRequest(connection)) {
+                            listener.onConnect();
+                        }
+                    })
                     .headers(requestHeaders -> requestHeaders.clear().add(headers))
                     .request(method)
                     .uri(uri)
@@ -94,7 +118,12 @@
                             body.length == 0 ? outbound : outbound.sendObject(Unpooled.wrappedBuffer(body)))
                     .responseConnection((response, connection) -> Mono.just(toStreamedResponse(response, connection)))
                     .single()
-                    .onErrorMap(error -> new WorkerConnectionException(isSent.get(), error));
+                    .onErrorMap(error -> {
+                        if (!isSent.get() && error instanceof ConnectException) {
+                            listener.onConnectFailure();
+                        }
+                        return new WorkerConnectionException(isSent.get(), error);
+                    });
         });
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
@@ -32,6 +32,7 @@
     private long lastEventNanos;
     private boolean ended;
     private boolean suspect;
+    private boolean atPeer;
 
     Placement(WorkerState worker, boolean interactive, double prefillMillis, long nowNanos) {
         this.worker = worker;
@@ -45,6 +46,28 @@
         worker.beginRequest(interactive, prefillMillis, nowNanos);
     }
 
+    /**
+     * Creates a placement that is counted nowhere, for a request that a peer has placed and counts.
+     *
+     * @param entry entry of the worker to which the peer has sent the request
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return the placement, whose records have no effect
+     */
+    public static Placement atPeer(WorkerEntry entry, long nowNanos) {
+        Placement placement = new Placement(new WorkerState(entry, 0), false, 0, nowNanos);
+        placement.atPeer = true;
+        return placement;
+    }
+
+    /**
+     * Returns whether a peer has sent the request to the worker.
+     *
+     * @return true for placements of {@link #atPeer(WorkerEntry, long)}
+     */
+    public boolean isAtPeer() {
+        return atPeer;
+    }
+
     /**
      * Returns the worker.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -28,8 +28,8 @@
     /** Slowness below which it is no longer reported as slow. */
     private static final double SLOW_END = 1.3;
 
-    private final LocalSuspicion localSuspicion = new LocalSuspicion();
-    private final RecentOutcomes outcomes = new RecentOutcomes();
+    private LocalSuspicion localSuspicion = new LocalSuspicion();
+    private RecentOutcomes outcomes = new RecentOutcomes();
     private final SharedSuspicion sharedSuspicion = new SharedSuspicion();
     private final ColdStartTracker coldStart = new ColdStartTracker();
     private final TimingRecorder timings = new TimingRecorder();
@@ -122,6 +122,23 @@
         return timings;
     }
 
+    /** Returns the number of requests that this process has in flight at the worker. */
+    int localInFlight() {
+        return inFlight;
+    }
+
+    /** Returns the decayed number of successes that peers have reported. */
+    double peerSuccesses() {
+        return peerLoad.succeeded();
+    }
+
+    /** Forgets all failures of requests of this process, and the restarts that it has assumed because of them. */
+    void forgetFailures() {
+        localSuspicion = new LocalSuspicion();
+        outcomes = new RecentOutcomes();
+        coldStart.forgetAssumedRestart();
+    }
+
     /** Returns the number of requests that all processes have in flight at the worker. */
     int totalInFlight() {
         return inFlight + peerLoad.inFlight();
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -87,7 +88,13 @@
     }
 
     private static Mono<StreamedResponse> send(WorkerClient client, WorkerEntry entry) {
-        return client.send(entry, HttpMethod.GET, "/", new DefaultHttpHeaders().add("Host", "w"), new byte[0])
+        return client.send(
+                        new InetSocketAddress(entry.host(), entry.port()),
+                        HttpMethod.GET,
+                        "/",
+                        new DefaultHttpHeaders().add("Host", "w"),
+                        new byte[0],
+                        WorkerClient.ConnectListener.NONE)
                 .timeout(Duration.ofMillis(TIMEOUT_MILLIS));
     }
 
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cold/ColdStartTracker.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cold/ColdStartTracker.java
@@ -37,6 +37,11 @@
         assumedSinceNanos = nowNanos;
     }
 
+    /** Withdraws the assumption of a restart; what the worker has reported remains. */
+    public void forgetAssumedRestart() {
+        assumedCold = false;
+    }
+
     /**
      * Whether the worker counts as cold.
      *
