A worker is taken for crashed only if another one accepts connections

The probe after a broken attempt asked the worker alone, and a worker that refuses a connection looks the same whether it has crashed or the link has. Peers believed the notice.

Change: a refusal counts as a crash only if one of two other workers accepts a connection at that moment. Both probes feed the detection of the partition as well.

Ruled out: to hold the verdict back until the partition is detected or disproved (a poison request would have time for one more worker); to ask peers (a round trip in which the retry waits).

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
@@ -44,6 +44,7 @@
                 call, worker, reason, call.millisSinceSend(loop.nowNanos()), call.attemptEventCount());
         Mono<Void> handled = reachability
                 .probeOnce(worker)
+                .flatMap(result -> confirmed(worker, result))
                 .doOnNext(result -> handleProbeResult(attempt, result))
                 .then()
                 .cache();
@@ -51,6 +52,15 @@
         return handled;
     }
 
+    /** Confirms a crash by another worker: if none accepts connections, the links of this process have failed. */
+    private Mono<WorkerProbe.Result> confirmed(WorkerEntry worker, WorkerProbe.Result result) {
+        return result == WorkerProbe.Result.CRASHED
+                ? reachability
+                        .isAnotherReached(worker)
+                        .map(isReached -> isReached ? WorkerProbe.Result.CRASHED : WorkerProbe.Result.UNKNOWN)
+                : Mono.just(result);
+    }
+
     /** Returns whether the request may be sent to a worker. */
     Verdict verdict(Call call) {
         return quarantine.isEmpty() ? new Verdict.Allowed() : quarantine.verdict(call.fingerprint(), loop.nowNanos());
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Reachability.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Reachability.java
@@ -21,6 +21,7 @@
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.gateway.workers.WorkerLinks;
 import org.dotterelcourse.policy.relay.ReachabilityDetector;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -47,6 +48,9 @@
     /** Time without a byte of any worker after which open connections are not expected to deliver anything. */
     private static final long HANGING_MILLIS = 400;
 
+    /** Workers probed to confirm that another worker has crashed. */
+    private static final int CONTROL_PROBES = 2;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final UnaryOperator<InetSocketAddress> addressMapping;
@@ -234,4 +238,18 @@
             recordConnectFailure(worker);
         }
     }
+
+    /**
+     * Determines whether another worker accepts connections. If none does, a worker that refuses them has not
+     * necessarily crashed.
+     *
+     * @return whether any of a few other workers is reached; true if there are no others
+     */
+    Mono<Boolean> isAnotherReached(WorkerEntry worker) {
+        List<WorkerEntry> others = links.sample(CONTROL_PROBES, each -> each != worker.incarnation());
+        if (others.isEmpty()) {
+            return Mono.just(true);
+        }
+        return Flux.fromIterable(others).flatMap(this::probeOnce).any(result -> result == WorkerProbe.Result.ALIVE);
+    }
 }
