Keep requests from brittle workers before they have to reject them

Cause: routers fill plain workers up to four requests a slot, and each of them tries a full worker anew every half second. What all of them together get rejected was bounded by nothing.

Change: - The statement is read from every answer to an own request, also a rejection; a stamped success without it ends it, as does the end of the incarnation. Empty, negative, other and repeated values are logged and ignored; the smallest valid one counts. While there is room for all requests that may be in flight unseen (three deviations above what load reports hide), any router may use it. A rejection lowers the room to what was in flight then; it grows by one each half second. - What no worker has room for is rejected at once with Retry-After, or waits in the queue of streams that can wait.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditEvent.java
@@ -29,6 +29,8 @@
         QUARANTINE,
         /** The number of requests per second that a worker accepts. */
         LIMIT,
+        /** The number of rejections per second above which a worker crashes. */
+        BRITTLE,
         /** The time for which a worker has asked this process to send it nothing. */
         BACKOFF,
         /** Whether this process has a link to any worker. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 
 import org.dotterelcourse.daemon.audit.AuditEvent;
 import org.dotterelcourse.daemon.audit.AuditTrail;
@@ -18,8 +17,6 @@
 import org.dotterelcourse.gateway.workers.Workers;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.RequestQuarantine;
-import org.dotterelcourse.policy.rate.LimitNotice;
-import org.dotterelcourse.policy.rate.WorkerLimits;
 import org.dotterelcourse.policy.repeat.WindowedRetryBudget;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.EngineModel;
@@ -43,6 +40,7 @@
     private final RequestQuarantine quarantine = new RequestQuarantine();
     private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
     private final WorkerTimings timings = new WorkerTimings(workers);
+    private final WorkerStatements statements = new WorkerStatements(workers);
     private final RetryLimit retryLimit;
     private AuditTrail audit;
     private volatile RoutingTable table;
@@ -82,6 +80,7 @@
     @Override
     public List<StartupFailure> start(Kernel kernel) {
         audit = kernel.find(AuditTrail.NAME);
+        statements.setAudit(audit);
         return List.of();
     }
 
@@ -123,11 +122,12 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void updateWorker(WorkerEntry entry, long nowNanos) {
-        String before =
-                workers.find(entry.id()).map(worker -> describe(worker.entry())).orElse("");
+        String before = workers.find(entry.id())
+                .map(worker -> worker.entry().describe())
+                .orElse("");
         workers.addOrUpdate(entry, nowNanos);
-        if (!before.equals(describe(entry))) {
-            audit.add(AuditEvent.Kind.UPSTREAM, entry.id(), "published", before, describe(entry));
+        if (!before.equals(entry.describe())) {
+            audit.add(AuditEvent.Kind.UPSTREAM, entry.id(), "published", before, entry.describe());
         }
     }
 
@@ -138,7 +138,7 @@
      */
     public void removeWorker(String id) {
         workers.remove(id)
-                .ifPresent(entry -> audit.add(AuditEvent.Kind.UPSTREAM, id, "published", describe(entry), "gone"));
+                .ifPresent(entry -> audit.add(AuditEvent.Kind.UPSTREAM, id, "published", entry.describe(), "gone"));
     }
 
     /**
@@ -294,69 +294,12 @@
     }
 
     /**
-     * Records the request rate limit that a worker has set in a response. Ignored if the worker is no longer published.
+     * Returns what workers have stated about themselves in responses.
      *
-     * @param worker the worker that sent the response
-     * @param perSecond requests per second that it accepts from all processes together; empty if the response sets no
-     *     limit
-     * @param nowNanos current monotonic time in nanoseconds
-     */
-    public void recordWorkerLimit(WorkerEntry worker, OptionalDouble perSecond, long nowNanos) {
-        WorkerLimits limits = workers.limits();
-        String before = describe(limits.limit(worker.incarnation()));
-        boolean published = workers.findByIncarnation(worker.incarnation()).isPresent();
-        if (published && limits.updateFromWorker(worker.incarnation(), perSecond, nowNanos)) {
-            audit.add(AuditEvent.Kind.LIMIT, worker.id(), "named in an answer", before, describe(perSecond));
-        }
-    }
-
-    /**
-     * Records that a worker has asked this process in a response to send it nothing for a time.
-     *
-     * @param worker the worker that sent the response
-     * @param millis the time in milliseconds from now
-     * @param nowNanos current monotonic time in nanoseconds
+     * @return the statements of the workers of all upstreams
      */
-    public void recordWorkerBackoff(WorkerEntry worker, long millis, long nowNanos) {
-        if (workers.backoffs().extend(worker.incarnation(), millis, nowNanos)) {
-            audit.add(AuditEvent.Kind.BACKOFF, worker.id(), "asked in an answer", "none", millis + " ms");
-        }
-    }
-
-    /**
-     * Records that a worker has stated in a response that it is leaving.
-     *
-     * @param worker the worker that sent the response
-     * @param nowNanos current monotonic time in nanoseconds
-     */
-    public void recordWorkerLeaving(WorkerEntry worker, long nowNanos) {
-        if (workers.leavingWorkers().add(worker.incarnation(), nowNanos)) {
-            String after = describe(worker.toLeaving());
-            audit.add(AuditEvent.Kind.UPSTREAM, worker.id(), "stated in an answer", describe(worker), after);
-        }
-    }
-
-    /**
-     * Applies a peer's notice of the request rate limit of a worker. Ignored if the worker is not yet published here;
-     * peers repeat their notices.
-     *
-     * @param notice the limit that the worker has set
-     * @param peer name of the peer that sent the notice
-     * @param nowNanos current monotonic time in nanoseconds
-     */
-    public void applyLimitNotice(LimitNotice notice, String peer, long nowNanos) {
-        workers.findByIncarnation(notice.worker()).ifPresent(worker -> {
-            WorkerLimits limits = workers.limits();
-            String before = describe(limits.limit(notice.worker()));
-            if (limits.updateFromPeer(notice, nowNanos)) {
-                String id = worker.entry().id();
-                audit.add(AuditEvent.Kind.LIMIT, id, "told by " + peer, before, describe(notice.perSecond()));
-            }
-        });
-    }
-
-    private static String describe(OptionalDouble perSecond) {
-        return perSecond.isPresent() ? perSecond.getAsDouble() + " a second" : "none";
+    public WorkerStatements statements() {
+        return statements;
     }
 
     /**
@@ -387,9 +330,4 @@
     public int reachableProcesses() {
         return reachableProcesses;
     }
-
-    private static String describe(WorkerEntry entry) {
-        return entry.upstream() + " " + entry.host() + ":" + entry.port() + (entry.leaving() ? " leaving" : " live")
-                + (entry.startMillis() == 0 ? "" : " since " + entry.startMillis());
-    }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/StartupQueue.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/StartupQueue.java
@@ -9,6 +9,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.workers.WorkerLinks;
 import org.dotterelcourse.policy.start.StartupWait;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
@@ -109,7 +110,8 @@
         }
         expire(ready);
         if (ready) {
-            release(StartupWait.batchSize(state.workers().slots(), Math.max(minProcesses, state.processes())));
+            release(StartupWait.batchSize(
+                    WorkerLinks.slots(state.workers()), Math.max(minProcesses, state.processes())));
         }
         started = ready && waiting.isEmpty() && ticks >= BACKLOG_TICKS;
         if (!started) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -177,6 +177,7 @@
             state.workers().updateFleet(peers.self(), others, nowNanos);
             state.quarantine().scheduleReminders();
             state.workers().limits().scheduleReminders();
+            state.workers().brittleness().scheduleReminders();
         }
         state.updateFleetSize(others.size() + 1);
         state.updateTimings(nowNanos);
@@ -310,11 +311,13 @@
         Map<Integer, PeerLoads.Load> loads;
         List<CrashNotice> crashes;
         List<LimitNotice> limits;
+        List<LimitNotice> brittle;
         try {
             report = FleetProtos.LoadReport.parseFrom(body);
             loads = LoadCodec.decode(report.getWorkers());
             crashes = CrashNoticeCodec.decode(report.getCrashes());
             limits = LimitNoticeCodec.decode(report.getLimits());
+            brittle = LimitNoticeCodec.decode(report.getBrittle());
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             LOG.warnf(e, "load report of %s can't be read, the report is ignored", peer);
             return;
@@ -330,7 +333,8 @@
         }
         state.workers().recordPeerLoads(peer, scope, loads, nowNanos);
         crashes.forEach(crash -> state.applyCrashNotice(crash, nowNanos));
-        limits.forEach(limit -> state.applyLimitNotice(limit, peer, nowNanos));
+        brittle.forEach(notice -> state.statements().applyBrittlenessNotice(notice, peer, nowNanos));
+        limits.forEach(limit -> state.statements().applyLimitNotice(limit, peer, nowNanos));
         timings.receive(peer, scope, report, nowNanos);
         PartitionWorkCodec.record(peer, scope, report, state, nowNanos);
         recordLocations(scope, report, nowNanos);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ReportEncoder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ReportEncoder.java
@@ -40,7 +40,8 @@
         periodNanos = nowNanos;
         List<CrashNotice> crashes = state.quarantine().takeNotices(nowNanos);
         List<LimitNotice> limits = state.workers().limits().takeNotices(nowNanos);
-        hasNotices = !crashes.isEmpty() || !limits.isEmpty();
+        List<LimitNotice> brittle = state.workers().brittleness().takeNotices(nowNanos);
+        hasNotices = !crashes.isEmpty() || !limits.isEmpty() || !brittle.isEmpty();
         FleetProtos.LoadReport.Builder report = FleetProtos.LoadReport.newBuilder()
                 .setRevision(publications.position().revision())
                 .setEra(publications.position().era());
@@ -56,6 +57,9 @@
         if (!limits.isEmpty()) {
             report.setLimits(LimitNoticeCodec.encode(limits));
         }
+        if (!brittle.isEmpty()) {
+            report.setBrittle(LimitNoticeCodec.encode(brittle));
+        }
         common = report.build().toByteArray();
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatement.java
@@ -14,6 +14,10 @@
  * @param backoffMillis how long the worker wants no requests from this process, in milliseconds; 0 if it does not ask for
  *     that
  * @param leaving whether the worker is shutting down and takes no new requests
+ * @param mentionsBrittleness whether the response states, validly or not, that the worker is brittle; only a response
+ *     without such a statement can end an earlier one
+ * @param maxRejectionsPerSecond rejections per second for want of room above which the worker crashes, not negative; empty
+ *     if it is not brittle
  * @param ignored values that are not valid or not allowed in this response, and that have no effect
  */
 public record WorkerStatement(
@@ -21,6 +25,8 @@
         OptionalDouble requestLimitPerSecond,
         long backoffMillis,
         boolean leaving,
+        boolean mentionsBrittleness,
+        OptionalDouble maxRejectionsPerSecond,
         List<IgnoredValue> ignored) {
     /**
      * A header value that has no effect.
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatementHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatementHandler.java
@@ -1,5 +1,7 @@
 package org.dotterelcourse.gateway.forward;
 
+import java.util.OptionalDouble;
+
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 
@@ -29,25 +31,28 @@
         }
         WorkerStatement statement = dialect.workerStatement(response.status(), response.headers());
         statement.ignored().forEach(value -> ignoredValues.log(worker.id(), value, nowNanos));
-        updateRequestLimit(worker, statement, response, nowNanos);
+        updateLimits(worker, statement, response, nowNanos);
         if (statement.backoffMillis() > 0) {
-            state.recordWorkerBackoff(worker, statement.backoffMillis(), nowNanos);
+            state.statements().recordBackoff(worker, statement.backoffMillis(), nowNanos);
         }
         if (statement.leaving()) {
-            state.recordWorkerLeaving(worker, nowNanos);
+            state.statements().recordLeaving(worker, nowNanos);
         }
     }
 
     /**
-     * Applies the worker's request limit. A valid limit is applied with any status, an invalid one leaves the previous
-     * limit in force, and its absence removes the limit only if the response is a stamped success.
+     * Applies the worker's request limit and brittleness. A valid value is applied with any status, an invalid one leaves
+     * the previous one in force, and its absence removes it only if the response is a stamped success.
      */
-    private void updateRequestLimit(
-            WorkerEntry worker, WorkerStatement statement, StreamedResponse response, long nowNanos) {
+    private void updateLimits(WorkerEntry worker, WorkerStatement statement, StreamedResponse response, long nowNanos) {
         boolean isStampedSuccess = dialect.hasWorkerStamp(response.headers()) && response.status() / 100 == 2;
-        boolean isLimitEnded = isStampedSuccess && !statement.mentionsRequestLimit();
-        if (statement.requestLimitPerSecond().isPresent() || isLimitEnded) {
-            state.recordWorkerLimit(worker, statement.requestLimitPerSecond(), nowNanos);
+        OptionalDouble limit = statement.requestLimitPerSecond();
+        if (limit.isPresent() || isStampedSuccess && !statement.mentionsRequestLimit()) {
+            state.statements().recordLimit(worker, limit, nowNanos);
+        }
+        OptionalDouble rejections = statement.maxRejectionsPerSecond();
+        if (rejections.isPresent() || isStampedSuccess && !statement.mentionsBrittleness()) {
+            state.statements().recordBrittleness(worker, rejections, nowNanos);
         }
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
@@ -198,6 +198,7 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordRejection(long nowNanos) {
+        worker.recordFull(nowNanos);
         worker.localSuspicion().recordFailure(nowNanos);
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
@@ -45,6 +45,16 @@
         return host + ":" + port;
     }
 
+    /**
+     * Describes this entry for the audit trail.
+     *
+     * @return upstream, address, state and start
+     */
+    public String describe() {
+        return upstream + " " + host + ":" + port + (leaving ? " leaving" : " live")
+                + (startMillis == 0 ? "" : " since " + startMillis);
+    }
+
     /**
      * Returns a hash that identifies this start of the worker in messages between processes. With a few thousand
      * workers, a collision is unlikely, and it does no harm.
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerLinks.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerLinks.java
@@ -35,6 +35,16 @@
         return workers.all().size();
     }
 
+    /**
+     * Returns the number of requests that all published workers can run concurrently.
+     *
+     * @param workers the workers of all upstreams
+     * @return the sum of the workers' slots
+     */
+    public static int slots(Workers workers) {
+        return workers.all().stream().mapToInt(worker -> worker.entry().slots()).sum();
+    }
+
     /**
      * Selects workers to probe, of different upstreams and data centres by chance.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -6,6 +6,7 @@
 import org.dotterelcourse.policy.cold.ColdStartTracker;
 import org.dotterelcourse.policy.performance.TimingRecorder;
 import org.dotterelcourse.policy.performance.WorkerPerformance;
+import org.dotterelcourse.policy.rate.BrittleWorkerAdmission;
 import org.dotterelcourse.policy.rate.RateShare;
 import org.dotterelcourse.policy.rate.SlidingWindowLog;
 import org.dotterelcourse.policy.repeat.LocalSuspicion;
@@ -34,6 +35,7 @@
     private final ColdStartTracker coldStart = new ColdStartTracker();
     private final TimingRecorder timings = new TimingRecorder();
     private final SlidingWindowLog requestLog = new SlidingWindowLog();
+    private final BrittleWorkerAdmission brittleAdmission = new BrittleWorkerAdmission();
     private final int incarnation;
     private final long sequence;
     private WorkerEntry entry;
@@ -189,6 +191,22 @@
         return allowed ? SendPermission.RATE_LIMITED : SendPermission.DENIED;
     }
 
+    /** Returns whether this process may send a request to this worker, which is brittle. */
+    boolean hasRoom(RateShareHolders holders, long nowNanos) {
+        double perSecond = RecentOutcomes.perSecond(outcomes.recentSuccesses(nowNanos) + peerLoad.succeeded());
+        return brittleAdmission.allows(
+                entry.slots(),
+                new BrittleWorkerAdmission.Load(inFlight, totalInFlight(), perSecond),
+                holders.processes(),
+                count -> holders.includesSelf(entry.id(), count, nowNanos),
+                nowNanos);
+    }
+
+    /** Records that the worker had no room for a request, which is still counted as in flight. */
+    void recordFull(long nowNanos) {
+        brittleAdmission.recordFull(totalInFlight() - 1, nowNanos);
+    }
+
     private boolean allows(RateShare share, RateShareHolders holders, long nowNanos) {
         return holders.includesSelf(entry.id(), share.holders(), nowNanos) && requestLog.allows(share, nowNanos);
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -43,6 +43,7 @@
     private Function<String, ColdStart> coldStartByUpstream = upstream -> ColdStart.none();
     private final RateShareHolders rateShareHolders = new RateShareHolders();
     private final WorkerLimits limits = new WorkerLimits();
+    private final WorkerLimits brittleness = new WorkerLimits();
     private final WorkerBackoffs backoffs = new WorkerBackoffs();
     private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
     private final SelectionCounters counters = new SelectionCounters();
@@ -147,18 +148,10 @@
         if (worker != null) {
             byIncarnation.remove(worker.incarnation());
             limits.remove(worker.incarnation());
+            brittleness.remove(worker.incarnation());
         }
     }
 
-    /**
-     * Returns the number of requests that all published workers can run concurrently.
-     *
-     * @return the sum of the workers' slots
-     */
-    public int slots() {
-        return byId.values().stream().mapToInt(worker -> worker.entry().slots()).sum();
-    }
-
     /**
      * Finds a worker by its name.
      *
@@ -216,6 +209,9 @@
         if (backoffs.remainingMillis(worker.incarnation(), nowNanos) > 0) {
             return SendPermission.BACKING_OFF;
         }
+        if (brittleness.limit(worker.incarnation()).isPresent() && !worker.hasRoom(rateShareHolders, nowNanos)) {
+            return SendPermission.DENIED;
+        }
         return worker.sendPermission(coldStart, limits.limit(worker.incarnation()), rateShareHolders, nowNanos);
     }
 
@@ -246,6 +242,15 @@
         return limits;
     }
 
+    /**
+     * Returns how many rejections per second for want of room brittle workers bear.
+     *
+     * @return the statements of the workers of all upstreams
+     */
+    public WorkerLimits brittleness() {
+        return brittleness;
+    }
+
     /**
      * Returns the backoffs that workers have asked this process for.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/WorkerLimits.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/WorkerLimits.java
@@ -7,8 +7,8 @@
 import java.util.OptionalDouble;
 
 /**
- * The latest request rate limits of workers, by worker incarnation, replicated among the processes of a fleet by
- * gossip.
+ * The latest limits that workers have stated, by worker incarnation, replicated among the processes of a fleet by gossip:
+ * requests per second that they accept, or rejections per second that they bear.
  *
  * <p>Answers overloaded workers, whose limit applies to all processes together: processes without a recent response
  * of such a worker learn the limit, and its end, from notices of their peers. Notices may arrive late, repeatedly and
@@ -115,6 +115,18 @@
         return current == null ? OptionalDouble.empty() : current.perSecond();
     }
 
+    /**
+     * Returns the age of the latest statement about a worker.
+     *
+     * @param worker the worker's incarnation
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return the time in nanoseconds since the worker made the statement; 0 if there is none
+     */
+    public long ageNanos(int worker, long nowNanos) {
+        Statement current = statements.get(worker);
+        return current == null ? 0 : nowNanos - current.statedNanos();
+    }
+
     /**
      * Removes a worker that is no longer published.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/RecentOutcomes.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/repeat/RecentOutcomes.java
@@ -60,6 +60,16 @@
         return failures;
     }
 
+    /**
+     * Returns the rate at which outcomes were recorded lately.
+     *
+     * @param decayed decayed count of outcomes, of one or several processes
+     * @return outcomes per second, if the rate was constant
+     */
+    public static double perSecond(double decayed) {
+        return decayed * Math.log(2) / (HALF_LIFE_NANOS / 1e9);
+    }
+
     private void decay(long nowNanos) {
         if (nowNanos == lastNanos || successes == 0 && failures == 0) {
             lastNanos = nowNanos;
