Resumable streams leave connections that carry nothing any more

Seen by callers: with links that hang, a stream waits for its deadline although it could go on through a peer; clients give it up after two seconds.

Cause: only requests without response headers were sent again when a cut was detected.

Connections that still deliver are left alone, as are requests that may run once only. Silence leads to two probes at a time in place of one.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Reachability.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Reachability.java
@@ -39,7 +39,10 @@
     /** Workers probed in one period. Probes only run while a partition is suspected or detected. */
     private static final int PROBES = 3;
 
-    /** Time without a byte of any worker after which a worker is probed. One worker may be silent for that long. */
+    /** Workers probed when none sends anything; their failures lead to further probes at once. */
+    private static final int SILENCE_PROBES = 2;
+
+    /** Time without a byte of any worker after which workers are probed. One worker may be silent for that long. */
     private static final long SILENCE_MILLIS = 600;
 
     /** Requests in flight from which on silence is remarkable; a few may all be waiting for their prompts to be read. */
@@ -181,6 +184,9 @@
         audit.add(AuditEvent.Kind.REACHABILITY, "workers", cause, before, after);
         links.forgetFailures();
         listeners.forEach(listener -> listener.accept(isCutOff));
+        if (isCutOff) {
+            abortHanging(loop.nowNanos());
+        }
     }
 
     private void check() {
@@ -191,7 +197,7 @@
         } else if (detector.isSuspicious(nowNanos)) {
             probeOthers(PROBES);
         } else if (isSilent(nowNanos)) {
-            probeOthers(1);
+            probeOthers(SILENCE_PROBES);
         }
         loop.runAtNextMultiple(PERIOD_MILLIS, this::check);
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
@@ -7,6 +7,7 @@
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.workers.Placement;
 import org.dotterelcourse.policy.selection.EngineModel;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 
 /** Passes on the event streams of workers, and records their progress and timings. */
@@ -58,10 +59,24 @@
                 () -> recordCompletion(call, placement));
         Flux<byte[]> events =
                 new EventRelay(response.body(), progress).onErrorResume(WorkerConnectionException.class, resume);
+        if (call.attributes().route().isRetryable() && !placement.isAtPeer()) {
+            events = closeWhenHanging(events, response);
+        }
         long delayMillis = Math.max(0, call.remainingMillis(loop.nowNanos())) + DEADLINE_GRACE_MILLIS;
         return new StreamDeadline(events, loop.eventLoop(), delayMillis);
     }
 
+    /** Breaks a stream that can be resumed when this process is cut off and open connections carry nothing either. */
+    private Flux<byte[]> closeWhenHanging(Flux<byte[]> events, StreamedResponse response) {
+        return Flux.defer(() -> {
+            Disposable hanging = reachability
+                    .hangingSignal()
+                    .doOnSuccess(signal -> response.close().run())
+                    .subscribe();
+            return events.doFinally(signal -> hanging.dispose());
+        });
+    }
+
     private void recordEventTiming(Call call) {
         EngineModel model = state.engineModel(call.attributes().upstream().name());
         if (call.eventCount() > 1) {
