A worker that completes an earlier request has not restarted

Seen by callers: where upstreams limit the rate of cold workers, a worker whose backlog was full for a second got a cold worker's rate for the whole cold time, since each connect that timed out counted as a restart.

Cause: a restart was assumed from a failed connect and never withdrawn, whatever the worker did afterwards.

Change: the completion of a request that was sent before the assumed restart withdraws it; a restarted process could not have completed it. What the worker reports of itself stands.

Ruled out: to assume restarts from refusals only (a worker that lost power is silent too, and cold when it is back).

SilentWorkersTest: a worker silent for 1.2 s under 24 requests: all served, each run once, no partition detected; it passed before too and guards the detection.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
@@ -166,6 +166,7 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordSuccess(long nowNanos) {
+        worker.coldStart().recordCompletion(sentNanos);
         worker.localSuspicion().recordSuccess(nowNanos);
         worker.outcomes().recordSuccess(nowNanos);
     }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cold/ColdStartTracker.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/cold/ColdStartTracker.java
@@ -37,6 +37,18 @@
         assumedSinceNanos = nowNanos;
     }
 
+    /**
+     * Records that the worker has completed a request. If it was sent before the assumed restart, there was none: a worker
+     * that was silent for a while has kept its requests.
+     *
+     * @param sentNanos monotonic time in nanoseconds at which the request was sent
+     */
+    public void recordCompletion(long sentNanos) {
+        if (assumedCold && sentNanos - assumedSinceNanos < 0) {
+            assumedCold = false;
+        }
+    }
+
     /** Withdraws the assumption of a restart; what the worker has reported remains. */
     public void forgetAssumedRestart() {
         assumedCold = false;
