Brittle workers are tried for more room as rarely as they bear rejections

Seen by a check of the soak: one worker with six published slots, room for two requests and one rejection a second fell over three times in three seconds, allowed are two.

Cause: a router assumed room for one more request each half second after a rejection, whatever the worker bears and however many routers do the same.

Change: the time between two such trials is the number of processes by the rejections a second that the worker bears, 0.5 to 4 s.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -192,10 +192,11 @@
     }
 
     /** Returns whether this process may send a request to this worker, which is brittle. */
-    boolean hasRoom(RateShareHolders holders, long nowNanos) {
+    boolean hasRoom(double maxRejections, RateShareHolders holders, long nowNanos) {
         double perSecond = RecentOutcomes.perSecond(outcomes.recentSuccesses(nowNanos) + peerLoad.succeeded());
         return brittleAdmission.allows(
                 entry.slots(),
+                maxRejections,
                 new BrittleWorkerAdmission.Load(inFlight, totalInFlight(), perSecond),
                 holders.processes(),
                 count -> holders.includesSelf(entry.id(), count, nowNanos),
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
@@ -209,7 +210,8 @@
         if (backoffs.remainingMillis(worker.incarnation(), nowNanos) > 0) {
             return SendPermission.BACKING_OFF;
         }
-        if (brittleness.limit(worker.incarnation()).isPresent() && !worker.hasRoom(rateShareHolders, nowNanos)) {
+        OptionalDouble rejections = brittleness.limit(worker.incarnation());
+        if (rejections.isPresent() && !worker.hasRoom(rejections.getAsDouble(), rateShareHolders, nowNanos)) {
             return SendPermission.DENIED;
         }
         return worker.sendPermission(coldStart, limits.limit(worker.incarnation()), rateShareHolders, nowNanos);
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/BrittleWorkerAdmission.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/BrittleWorkerAdmission.java
@@ -23,8 +23,11 @@
     /** Standard deviations of the number of unseen requests (a Poisson distribution) for which there must be room. */
     private static final double UNSEEN_DEVIATIONS = 3;
 
-    /** Time after which a worker that was full is assumed to have room for one more request. */
-    private static final long ROOM_GROWTH_NANOS = 500_000_000L;
+    /** Shortest time after which a worker that was full is assumed to have room for one more request. */
+    private static final double MIN_GROWTH_SECONDS = 0.5;
+
+    /** Longest such time: a worker that has lost its other requests must be filled again. */
+    private static final double MAX_GROWTH_SECONDS = 4;
 
     /** Time constant of the average number of requests in flight: some times the duration of a plain call. */
     private static final double AVERAGE_SECONDS = 1;
@@ -60,15 +63,17 @@
      * Returns whether this process may send the worker one more request.
      *
      * @param slots requests that the worker runs concurrently; it may let no others wait
+     * @param maxRejections rejections per second that the worker bears
      * @param load requests at the worker
      * @param processes number of processes in the fleet, at least 1
      * @param isAmong returns whether this process is among a number of processes that all processes select alike
      * @param nowNanos current monotonic time in nanoseconds
      * @return false if the request might find the worker without room
      */
-    public boolean allows(int slots, Load load, int processes, IntPredicate isAmong, long nowNanos) {
+    public boolean allows(
+            int slots, double maxRejections, Load load, int processes, IntPredicate isAmong, long nowNanos) {
         updateAverage(load.total(), nowNanos);
-        int room = room(slots, nowNanos);
+        int room = room(slots, maxRejections, processes, nowNanos);
         if (load.total() >= room) {
             return false;
         }
@@ -76,11 +81,18 @@
         return load.own() < part || room - load.total() >= 1 + unseen(load, processes);
     }
 
-    /** Returns the room of the worker: its slots, or less if it had no room for them and has not been tried since. */
-    private int room(int slots, long nowNanos) {
-        return inFlightWhenFull < 0
-                ? slots
-                : (int) Math.min(slots, inFlightWhenFull + (nowNanos - fullNanos) / ROOM_GROWTH_NANOS);
+    /**
+     * Returns the room of the worker: its slots, or less if it had no room for them. Each process may get one rejection for
+     * each request by which it assumes more room, so that the room grows the more slowly the more processes there are.
+     */
+    private int room(int slots, double maxRejections, int processes, long nowNanos) {
+        if (inFlightWhenFull < 0) {
+            return slots;
+        }
+        double growthSeconds =
+                Math.max(MIN_GROWTH_SECONDS, Math.min(MAX_GROWTH_SECONDS, processes / Math.max(maxRejections, 0.01)));
+        double grown = (nowNanos - fullNanos) / NANOS_PER_SECOND / growthSeconds;
+        return (int) Math.min(slots, inFlightWhenFull + Math.floor(grown));
     }
 
     /** Returns an upper bound of the requests that peers have sent and that are not yet reported. */
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/rate/BrittleWorkerAdmissionTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/rate/BrittleWorkerAdmissionTest.java
@@ -14,6 +14,7 @@
     private static final long SECOND = 1_000_000_000L;
     private static final int SLOTS = 6;
     private static final int PROCESSES = 8;
+    private static final double MAX_REJECTIONS = 8;
     private static final double BUSY_PER_SECOND = 200;
 
     private final BrittleWorkerAdmission admission = new BrittleWorkerAdmission();
@@ -44,13 +45,22 @@
         assertThat(allows(new Load(0, SLOTS, 0), true, 100 * SECOND)).isFalse();
     }
 
+    @Test
+    void aFleetTriesAWorkerThatBearsFewRejectionsMoreRarely() {
+        admission.recordFull(2, SECOND);
+        assertThat(admission.allows(SLOTS, 2, new Load(0, 2, 0), PROCESSES, count -> true, 4 * SECOND))
+                .isFalse();
+        assertThat(admission.allows(SLOTS, 2, new Load(0, 2, 0), PROCESSES, count -> true, 5 * SECOND))
+                .isTrue();
+    }
+
     @Test
     void inALargeFleetAProcessMayUseAWorkerWithShortCalls() {
         double perSecond = 20;
         for (long now = 0; now < 5 * SECOND; now += SECOND / 10) {
-            admission.allows(SLOTS, new Load(0, 1, perSecond), 85, count -> false, now);
+            admission.allows(SLOTS, 3, new Load(0, 1, perSecond), 85, count -> false, now);
         }
-        assertThat(admission.allows(SLOTS, new Load(0, 1, perSecond), 85, count -> false, 5 * SECOND))
+        assertThat(admission.allows(SLOTS, 3, new Load(0, 1, perSecond), 85, count -> false, 5 * SECOND))
                 .isTrue();
     }
 
@@ -71,9 +81,9 @@
         for (int step = 0; step < 200 * processes; step++) {
             int process = random.nextInt(processes);
             // Until now, the process has seen a full worker for long.
-            admissions[process].allows(slots, full, processes, count -> false, 100 * SECOND);
+            admissions[process].allows(slots, 3, full, processes, count -> false, 100 * SECOND);
             Load load = new Load(own[process], own[process], 1_000);
-            if (admissions[process].allows(slots, load, processes, count -> process < count, 100 * SECOND)) {
+            if (admissions[process].allows(slots, 3, load, processes, count -> process < count, 100 * SECOND)) {
                 own[process]++;
             }
         }
@@ -85,6 +95,6 @@
     }
 
     private boolean allows(Load load, boolean hasPart, long nowNanos) {
-        return admission.allows(SLOTS, load, PROCESSES, count -> hasPart && count > 0, nowNanos);
+        return admission.allows(SLOTS, MAX_REJECTIONS, load, PROCESSES, count -> hasPart && count > 0, nowNanos);
     }
 }
