--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/relay/ReachabilityDetector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/relay/ReachabilityDetector.java
@@ -20,8 +20,11 @@
     /** Failures in a row at this many workers are suspicious enough to probe others. */
     private static final int SUSPICIOUS_FAILURES = 2;
 
-    /** Workers that must accept a connection after a partition, since a single packet may pass a failing link. */
-    private static final int RESTORED_CONNECTS = 2;
+    /**
+     * Workers in a row that must accept a connection after a partition, and at most half of all workers. While a few are
+     * reached and most are not, peers serve better.
+     */
+    private static final int RESTORED_CONNECTS = 3;
 
     /** Time after which a failure no longer counts, because the worker may have been replaced since. */
     private static final long FAILURE_TTL_NANOS = 3_000_000_000L;
@@ -43,7 +46,7 @@
             return false;
         }
         connected.add(worker);
-        cutOff = connected.size() < Math.min(RESTORED_CONNECTS, publishedWorkers);
+        cutOff = connected.size() < Math.min(RESTORED_CONNECTS, (publishedWorkers + 1) / 2);
         return !cutOff;
     }
 
