A request whose peer breaks off counts as sent to a worker

Found by reading: a relayed request whose connection to the peer ended without an answer was not counted for the route's limit of attempts, although the peer may have sent it to a worker; an idempotent request could reach one worker more than allowed.

Change: it counts as one send.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
@@ -93,7 +93,12 @@
         failed.inc();
         call.recordRelayFailure();
         String reason = "peer " + peer.name() + " failed: " + error.getMessage();
-        return error.isSent() ? new AttemptResult.Unknown(reason) : new AttemptResult.NotExecuted(reason, false);
+        if (!error.isSent()) {
+            return new AttemptResult.NotExecuted(reason, false);
+        }
+        // A worker may have had the request, so it counts for the limit of attempts.
+        call.recordRelayedSends("", 1);
+        return new AttemptResult.Unknown(reason);
     }
 
     /** Returns whether a call that has reached no worker may be tried again, at a worker or through a peer. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayPeers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayPeers.java
@@ -28,7 +28,7 @@
     void recordBegin(String peer);
 
     /**
-     * Records that a relayed request has ended.
+     * Records that a peer has begun to answer a relayed request, or that the request has ended without that.
      *
      * @param peer name of the peer
      */
