--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -39,9 +39,6 @@
     /** No worker can respond within a shorter time, so the request is not sent. */
     private static final long MIN_REMAINING_MILLIS = 15;
 
-    /** Time for a response that the worker sends at the deadline to arrive. */
-    private static final long DEADLINE_GRACE_MILLIS = 60;
-
     /** Lowest status of an error response, which a worker may send without doing the work of the request. */
     private static final int BAD_REQUEST = 400;
 
@@ -186,7 +183,9 @@
         }
         long nowNanos = loop.nowNanos();
         return send(call, placed)
-                .timeout(Duration.ofMillis(call.remainingMillis(nowNanos) + DEADLINE_GRACE_MILLIS), loop.scheduler())
+                .timeout(
+                        Duration.ofMillis(call.remainingMillis(nowNanos) + StreamForwarder.DEADLINE_GRACE_MILLIS),
+                        loop.scheduler())
                 .onErrorResume(TimeoutException.class, error -> Mono.just(handleTimeout(call, placement)))
                 .onErrorResume(
                         WorkerConnectionException.class,
@@ -217,7 +216,9 @@
         Placement placement = relays.placement(call, state, nowNanos);
         return relays.send(call, peer)
                 .flatMap(result -> handleRelayResult(call, peer, result, earlierResponse))
-                .timeout(Duration.ofMillis(call.remainingMillis(nowNanos) + DEADLINE_GRACE_MILLIS), loop.scheduler())
+                .timeout(
+                        Duration.ofMillis(call.remainingMillis(nowNanos) + StreamForwarder.DEADLINE_GRACE_MILLIS),
+                        loop.scheduler())
                 .onErrorResume(TimeoutException.class, error -> Mono.just(handleTimeout(call, placement)))
                 .onErrorResume(
                         WorkerConnectionException.class,
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
@@ -13,7 +13,7 @@
 /** Passes on the event streams of workers, and records their progress and timings. */
 final class StreamForwarder {
     /** Time for a response that the worker sends at the deadline to arrive. */
-    private static final long DEADLINE_GRACE_MILLIS = 60;
+    static final long DEADLINE_GRACE_MILLIS = 60;
 
     private final GatewayLoop loop;
     private final GatewayState state;
