--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
@@ -256,7 +256,13 @@
         response.header(RelayHeaders.OUTCOME, RelayHeaders.RESPONDED);
         return reply instanceof Reply.Buffered buffered
                 ? HttpReplies.send(response, buffered)
-                : HttpReplies.send(response, (Reply.Streamed) reply, flushes, error -> {});
+                : HttpReplies.send(
+                        response,
+                        (Reply.Streamed) reply,
+                        flushes,
+                        error -> LOG.infof(
+                                "relayed stream of request %s broke off, its connection is closed: %s",
+                                call.attributes().id(), error.getMessage()));
     }
 
     private Mono<Void> reject(HttpServerResponse response, String reason) {
