Resumption, final replies, retries, permissions and events are classes of their own

Moved without a change of behaviour: StreamResumption, FinalReplies and RetryPolicy out of Forwarder, SendPermissions out of Workers, EventProgress out of Call.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
@@ -41,7 +41,11 @@
      */
     Mono<Void> handleFailure(Call call, WorkerEntry worker, String reason) {
         FailedAttempt attempt = new FailedAttempt(
-                call, worker, reason, call.millisSinceSend(loop.nowNanos()), call.attemptEventCount());
+                call,
+                worker,
+                reason,
+                call.millisSinceSend(loop.nowNanos()),
+                call.events().attemptCount());
         Mono<Void> handled = reachability
                 .probeOnce(worker)
                 .flatMap(result -> confirmed(worker, result))
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -26,13 +26,7 @@
     private int sendCount;
     private int connectFailureCount;
     private boolean isPossiblyExecuted;
-    private String lastEventId = "";
-    private long lastEventNanos;
-    private long firstEventMillis;
-    private long longestEventGapMillis;
-    private double lastEventGapMillis;
-    private int eventCount;
-    private int attemptEventCount;
+    private final EventProgress events;
     private Fingerprint fingerprint;
     private boolean isSuspect;
     private long sentNanos;
@@ -81,6 +75,7 @@
         this.uri = uri;
         this.headers = headers;
         this.body = body;
+        this.events = new EventProgress(attributes.arrivalNanos());
     }
 
     /**
@@ -135,7 +130,7 @@
             firstSendMillis = (nowNanos - attributes.arrivalNanos()) / NANOS_PER_MILLI;
         }
         sentNanos = nowNanos;
-        attemptEventCount = 0;
+        events.beginAttempt();
         wasPlaced = true;
         triedWorkers.add(workerId);
         lastWorkerId = workerId;
@@ -162,7 +157,7 @@
             firstSendMillis = (nowNanos - attributes.arrivalNanos()) / NANOS_PER_MILLI;
         }
         sentNanos = nowNanos;
-        attemptEventCount = 0;
+        events.beginAttempt();
         relayPeer = peer;
     }
 
@@ -188,8 +183,8 @@
                         attributes.priority(),
                         attributes.upstream().engine(),
                         fetchFrom));
-        if (!lastEventId.isEmpty()) {
-            toWorker.set(dialect.lastEventIdHeader(), lastEventId);
+        if (!events.lastId().isEmpty()) {
+            toWorker.set(dialect.lastEventIdHeader(), events.lastId());
         }
         return toWorker;
     }
@@ -205,7 +200,7 @@
         isForPeer = true;
         wasPlaced = retried;
         triedWorkers.addAll(excludedWorkers);
-        lastEventId = resumeAfterEventId;
+        events.continueAfter(resumeAfterEventId);
     }
 
     /** Returns whether the request is one of a peer's client. Such a request is not relayed to another peer. */
@@ -266,22 +261,9 @@
         return connectFailureCount;
     }
 
-    String lastEventId() {
-        return lastEventId;
-    }
-
-    /** Records that an event is passed on to the client. */
-    void recordEvent(String id, long nowNanos) {
-        lastEventId = id;
-        eventCount++;
-        attemptEventCount++;
-        lastEventGapMillis = lastEventNanos == 0 ? 0 : (nowNanos - lastEventNanos) / (double) NANOS_PER_MILLI;
-        if (lastEventNanos == 0) {
-            firstEventMillis = (nowNanos - attributes.arrivalNanos()) / NANOS_PER_MILLI;
-        } else {
-            longestEventGapMillis = Math.max(longestEventGapMillis, (nowNanos - lastEventNanos) / NANOS_PER_MILLI);
-        }
-        lastEventNanos = nowNanos;
+    /** Returns the progress of the stream. */
+    EventProgress events() {
+        return events;
     }
 
     /** Returns the time in milliseconds since the request was last sent to a worker. */
@@ -289,16 +271,6 @@
         return (nowNanos - sentNanos) / (double) NANOS_PER_MILLI;
     }
 
-    /** Returns the number of events passed on to the client. */
-    int eventCount() {
-        return eventCount;
-    }
-
-    /** Returns the number of events passed on from the current worker. */
-    int attemptEventCount() {
-        return attemptEventCount;
-    }
-
     /**
      * Returns the fingerprint, which is the same for all retries of a request.
      *
@@ -323,11 +295,6 @@
         return isSuspect;
     }
 
-    /** Returns the time in milliseconds between the last two events; 0 before the second event. */
-    double lastEventGapMillis() {
-        return lastEventGapMillis;
-    }
-
     /**
      * Returns the time from the request's arrival until it was first sent to a worker.
      *
@@ -343,7 +310,7 @@
      * @return the time in milliseconds; 0 if there was no event
      */
     public long firstEventMillis() {
-        return firstEventMillis;
+        return events.firstMillis();
     }
 
     /**
@@ -352,7 +319,7 @@
      * @return the time in milliseconds; 0 before the second event
      */
     public long longestEventGapMillis() {
-        return longestEventGapMillis;
+        return events.longestGapMillis();
     }
 
     /**
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
@@ -0,0 +1,47 @@
+package org.dotterelcourse.gateway.forward;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.dotterelcourse.policy.quarantine.Verdict;
+
+/** Determines the reply to a client when there are no further attempts. */
+final class FinalReplies {
+    /** About the duration of a few calls without a prompt, after which a slot has become free. */
+    private static final long RETRY_AFTER_FULL_MILLIS = 250;
+
+    private final SharedBackoff sharedBackoff;
+
+    FinalReplies(SharedBackoff sharedBackoff) {
+        this.sharedBackoff = sharedBackoff;
+    }
+
+    /**
+     * Returns a worker's earlier error response if there is one, otherwise one of the router. It states that the request
+     * was not executed only if no attempt may have executed it.
+     */
+    Reply reply(Call call, Optional<BufferedResponse> earlierResponse, String reason, long nowNanos) {
+        if (earlierResponse.isPresent()) {
+            return earlierResponse.get().toReply();
+        }
+        if (call.isPossiblyExecuted()) {
+            return new Reply.Local(LocalReply.possiblyExecuted(reason));
+        }
+        OptionalLong backoff = sharedBackoff.retryAfterMillis(call, nowNanos);
+        return new Reply.Local(
+                backoff.isPresent()
+                        ? LocalReply.notExecuted(SharedBackoff.REASON + ", " + reason, backoff.getAsLong())
+                        : LocalReply.notExecuted(
+                                reason, Math.max(RETRY_AFTER_FULL_MILLIS, call.relayRetryAfterMillis())));
+    }
+
+    /** Rejects a quarantined request, unless a worker has responded to it before or may have executed it. */
+    Reply quarantined(
+            Call call, Optional<BufferedResponse> earlierResponse, Verdict.Quarantined quarantined, long nowNanos) {
+        String reason = "workers crash under this request";
+        boolean isNotExecuted = earlierResponse.isEmpty() && !call.isPossiblyExecuted();
+        return isNotExecuted
+                ? new Reply.Local(LocalReply.notExecuted(reason, quarantined.retryAfterMillis()))
+                : reply(call, earlierResponse, reason, nowNanos);
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 
@@ -33,12 +32,6 @@
     /** Each unreachable worker costs a connect timeout; after this many, the client should rather retry later. */
     private static final int MAX_CONNECT_FAILURES = 4;
 
-    /** About the duration of a few calls without a prompt, after which a slot has become free. */
-    private static final long RETRY_AFTER_FULL_MILLIS = 250;
-
-    /** No worker can respond within a shorter time, so the request is not sent. */
-    private static final long MIN_REMAINING_MILLIS = 15;
-
     /** Lowest status of an error response, which a worker may send without doing the work of the request. */
     private static final int BAD_REQUEST = 400;
 
@@ -50,7 +43,9 @@
     private WorkerClient client;
     private WorkerSelection selection;
     private EngineQueues queues;
-    private SharedBackoff sharedBackoff;
+    private RetryPolicy retries;
+    private FinalReplies finalReplies;
+    private StreamResumption resumption;
     private AttemptFailureHandler failureHandler;
     private WorkerStatementHandler statementHandler;
     private StreamForwarder streams;
@@ -92,7 +87,10 @@
         statementHandler = new WorkerStatementHandler(dialect, validator, state);
         RandomGenerator random = RandomGenerator.getDefault();
         selection = new WorkerSelection(dataCentre, state, random);
-        sharedBackoff = new SharedBackoff(state, random);
+        SharedBackoff sharedBackoff = new SharedBackoff(state, random);
+        retries = new RetryPolicy(state);
+        finalReplies = new FinalReplies(sharedBackoff);
+        resumption = new StreamResumption(loop, failureHandler, retries, call -> attempt(call, Optional.empty()));
         queues = new EngineQueues(loop, state, selection, sharedBackoff, random);
         return List.of();
     }
@@ -146,12 +144,12 @@
 
     private Mono<Reply> attempt(Call call, Optional<BufferedResponse> earlierResponse) {
         long nowNanos = loop.nowNanos();
-        if (call.remainingMillis(nowNanos) < MIN_REMAINING_MILLIS) {
-            return Mono.just(finalReply(call, earlierResponse, "no time left"));
+        if (!RetryPolicy.hasTimeLeft(call, nowNanos)) {
+            return Mono.just(finalReplies.reply(call, earlierResponse, "no time left", nowNanos));
         }
         Verdict verdict = failureHandler.verdict(call);
         if (verdict instanceof Verdict.Quarantined quarantined) {
-            return Mono.just(quarantineReply(call, earlierResponse, quarantined));
+            return Mono.just(finalReplies.quarantined(call, earlierResponse, quarantined, loop.nowNanos()));
         }
         call.setSuspect(verdict instanceof Verdict.Suspect);
         Optional<RelayTarget> peer = relays.target(call);
@@ -174,12 +172,13 @@
     private Mono<Reply> sendToSelected(
             Call call, WorkerSelection.Outcome outcome, Optional<BufferedResponse> earlierResponse) {
         if (!(outcome instanceof WorkerSelection.Outcome.Placed placed)) {
-            return Mono.just(finalReply(call, earlierResponse, relays.explain(call, "no worker is free")));
+            return Mono.just(finalReplies.reply(
+                    call, earlierResponse, relays.explain(call, "no worker is free"), loop.nowNanos()));
         }
         Placement placement = placed.placement();
         if (failureHandler.verdict(call) instanceof Verdict.Quarantined quarantined) {
             placement.end();
-            return Mono.just(quarantineReply(call, earlierResponse, quarantined));
+            return Mono.just(finalReplies.quarantined(call, earlierResponse, quarantined, loop.nowNanos()));
         }
         long nowNanos = loop.nowNanos();
         return send(call, placed)
@@ -240,7 +239,8 @@
     private Mono<Reply> handleResponse(Call call, Placement placement, StreamedResponse response) {
         statementHandler.handle(call, placement.entry(), response, loop.nowNanos());
         if (validator.isStreamable(call, response)) {
-            Flux<byte[]> events = streams.forward(call, placement, response, error -> resume(call, placement, error));
+            Flux<byte[]> events =
+                    streams.forward(call, placement, response, error -> resumption.resume(call, placement, error));
             return Mono.just(new Reply.Streamed(response.status(), response.headers(), events));
         }
         return BufferedResponse.collect(response)
@@ -293,18 +293,19 @@
         }
         if (result instanceof AttemptResult.NotExecuted notExecuted) {
             boolean shouldRetry = notExecuted.wasReached()
-                    ? tryAcquireRetry(call, nowNanos)
+                    ? retries.tryAcquire(call, nowNanos)
                     : relays.mayTryAgain(call, MAX_CONNECT_FAILURES);
             return shouldRetry
                     ? attempt(call, earlierResponse)
-                    : Mono.just(finalReply(call, earlierResponse, relays.explain(call, notExecuted.reason())));
+                    : Mono.just(finalReplies.reply(
+                            call, earlierResponse, relays.explain(call, notExecuted.reason()), nowNanos));
         }
         call.markPossiblyExecuted();
         AttemptResult.Unknown unknown = (AttemptResult.Unknown) result;
-        if (call.attributes().route().isRetryable() && tryAcquireRetry(call, nowNanos)) {
+        if (call.attributes().route().isRetryable() && retries.tryAcquire(call, nowNanos)) {
             return attempt(call, earlierResponse);
         }
-        return Mono.just(finalReply(call, earlierResponse, unknown.reason()));
+        return Mono.just(finalReplies.reply(call, earlierResponse, unknown.reason(), nowNanos));
     }
 
     /**
@@ -322,43 +323,12 @@
         }
         placement.recordErrorResponse(nowNanos);
         call.markPossiblyExecuted();
-        if (call.attributes().route().isRetryable() && tryAcquireRetry(call, nowNanos)) {
+        if (call.attributes().route().isRetryable() && retries.tryAcquire(call, nowNanos)) {
             return attempt(call, Optional.of(response));
         }
         return Mono.just(response.toReply());
     }
 
-    /** Returns whether the call may be sent again, and if so takes the retry from the upstream's budget. */
-    private boolean tryAcquireRetry(Call call, long nowNanos) {
-        return call.sendCount() < call.attributes().route().maxAttempts()
-                && call.remainingMillis(nowNanos) >= MIN_REMAINING_MILLIS
-                && state.retryBudget(call.attributes().upstream().name()).tryAcquire(nowNanos);
-    }
-
-    /**
-     * Resumes a broken stream after its last complete event at another worker. The first worker has stopped, because its
-     * connection is closed.
-     */
-    private Flux<byte[]> resume(Call call, Placement placement, WorkerConnectionException error) {
-        placement.recordFailure(loop.nowNanos());
-        // A peer probes the worker itself.
-        Mono<Void> handled = placement.isAtPeer()
-                ? Mono.empty()
-                : failureHandler.handleFailure(call, placement.entry(), error.getMessage());
-        if (!call.attributes().route().isRetryable()) {
-            return Flux.error(error);
-        }
-        return handled.thenMany(Flux.defer(() -> resumeElsewhere(call, error)));
-    }
-
-    private Flux<byte[]> resumeElsewhere(Call call, WorkerConnectionException error) {
-        if (!tryAcquireRetry(call, loop.nowNanos())) {
-            return Flux.error(error);
-        }
-        return attempt(call, Optional.empty())
-                .flatMapMany(reply -> reply instanceof Reply.Streamed streamed ? streamed.events() : Flux.error(error));
-    }
-
     /** Handles a deadline that passes while a worker has the request, which may still be running there. */
     private Reply handleTimeout(Call call, Placement placement) {
         placement.end();
@@ -366,33 +336,4 @@
         call.markPossiblyExecuted();
         return new Reply.Local(new LocalReply(LocalReply.GATEWAY_TIMEOUT, "timeout", 0));
     }
-
-    /**
-     * Returns the reply when there are no further attempts: a worker's earlier error response if there is one, otherwise
-     * one of the router. It states that the request was not executed only if no attempt may have executed it.
-     */
-    private Reply finalReply(Call call, Optional<BufferedResponse> earlierResponse, String reason) {
-        if (earlierResponse.isPresent()) {
-            return earlierResponse.get().toReply();
-        }
-        if (call.isPossiblyExecuted()) {
-            return new Reply.Local(LocalReply.possiblyExecuted(reason));
-        }
-        OptionalLong backoff = sharedBackoff.retryAfterMillis(call, loop.nowNanos());
-        return new Reply.Local(
-                backoff.isPresent()
-                        ? LocalReply.notExecuted(SharedBackoff.REASON + ", " + reason, backoff.getAsLong())
-                        : LocalReply.notExecuted(
-                                reason, Math.max(RETRY_AFTER_FULL_MILLIS, call.relayRetryAfterMillis())));
-    }
-
-    /** Rejects a quarantined request, unless a worker has responded to it before or may have executed it. */
-    private Reply quarantineReply(
-            Call call, Optional<BufferedResponse> earlierResponse, Verdict.Quarantined quarantined) {
-        String reason = "workers crash under this request";
-        boolean isNotExecuted = earlierResponse.isEmpty() && !call.isPossiblyExecuted();
-        return isNotExecuted
-                ? new Reply.Local(LocalReply.notExecuted(reason, quarantined.retryAfterMillis()))
-                : finalReply(call, earlierResponse, reason);
-    }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayClient.java
@@ -82,7 +82,7 @@
                 .setRemainingMillis(Math.max(0, call.remainingMillis(nowNanos)))
                 .addAllExcludedWorkers(call.triedWorkers())
                 .addAllExcludedWorkers(excludedWorkers)
-                .setLastEventId(call.lastEventId())
+                .setLastEventId(call.events().lastId())
                 .setRetried(call.wasPlaced() || call.sendCount() > 0)
                 .setSender(self);
         for (Map.Entry<String, String> header : call.headers()) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
@@ -53,7 +53,7 @@
                         reachability.recordReceived(nowNanos);
                     }
                     placement.recordEvent(call.attributes().upstream().tokensPerEvent(), nowNanos);
-                    call.recordEvent(event.id(), nowNanos);
+                    call.events().record(event.id(), nowNanos);
                     recordEventTiming(call);
                 },
                 () -> recordCompletion(call, placement));
@@ -79,9 +79,9 @@
 
     private void recordEventTiming(Call call) {
         EngineModel model = state.engineModel(call.attributes().upstream().name());
-        if (call.eventCount() > 1) {
+        if (call.events().count() > 1) {
             model.recordEventGap(
-                    call.lastEventGapMillis(), call.attributes().upstream().tokensPerEvent());
+                    call.events().lastGapMillis(), call.attributes().upstream().tokensPerEvent());
         } else if (EngineQueues.isDelayTolerant(call)) {
             model.recordFirstEvent(call.millisSinceSend(loop.nowNanos()));
         }
@@ -92,7 +92,7 @@
         placement.recordStreamEnd(call.attributes().upstream().tokensPerEvent(), loop.nowNanos());
         failureHandler.recordFinished(call);
         if (EngineQueues.isDelayTolerant(call)) {
-            int tokens = call.eventCount() * call.attributes().upstream().tokensPerEvent();
+            int tokens = call.events().count() * call.attributes().upstream().tokensPerEvent();
             state.engineModel(call.attributes().upstream().name()).recordCompletion(tokens);
         }
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
@@ -16,7 +15,6 @@
 import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.rate.WorkerBackoffs;
 import org.dotterelcourse.policy.rate.WorkerLimits;
-import org.dotterelcourse.policy.selection.SendPermission;
 import org.dotterelcourse.policy.selection.WorkerLoad;
 import org.dotterelcourse.policy.selection.WorkerRanking;
 
@@ -41,11 +39,7 @@
     private long refreshedNanos;
 
     private final Set<String> evacuated = new HashSet<>();
-    private Function<String, ColdStart> coldStartByUpstream = upstream -> ColdStart.none();
-    private final RateShareHolders rateShareHolders = new RateShareHolders();
-    private final WorkerLimits limits = new WorkerLimits();
-    private final WorkerLimits brittleness = new WorkerLimits();
-    private final WorkerBackoffs backoffs = new WorkerBackoffs();
+    private final SendPermissions permissions = new SendPermissions();
     private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
     private final SelectionCounters counters = new SelectionCounters();
     private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible, counters);
@@ -91,7 +85,7 @@
      */
     public void configureUpstreams(Predicate<String> exists, Function<String, ColdStart> coldStart) {
         index.configureUpstreams(exists);
-        coldStartByUpstream = coldStart;
+        permissions.configureUpstreams(coldStart);
     }
 
     /**
@@ -129,7 +123,7 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void updateFleet(String self, List<String> others, long nowNanos) {
-        rateShareHolders.updateFleet(self, others, nowNanos);
+        permissions.updateFleet(self, others, nowNanos);
     }
 
     /**
@@ -148,8 +142,7 @@
     private void removeIncarnation(WorkerState worker) {
         if (worker != null) {
             byIncarnation.remove(worker.incarnation());
-            limits.remove(worker.incarnation());
-            brittleness.remove(worker.incarnation());
+            permissions.remove(worker.incarnation());
         }
     }
 
@@ -186,12 +179,12 @@
         for (WorkerState worker : serving) {
             suspects += worker.updateSharedSuspicion(nowNanos) ? 1 : 0;
         }
-        ColdStart coldStart = coldStartByUpstream.apply(upstream);
+        ColdStart coldStart = permissions.coldStart(upstream);
         boolean fewSuspects = suspects <= MAX_SUSPECTED_FRACTION * serving.size();
         List<WorkerLoad> loads = new ArrayList<>(serving.size());
         for (WorkerState worker : serving) {
             if (excluded.isEmpty() || !excluded.contains(worker.entry().id())) {
-                loads.add(worker.load(nowNanos, fewSuspects, sendPermission(worker, coldStart, nowNanos)));
+                loads.add(worker.load(nowNanos, fewSuspects, permissions.permission(worker, coldStart, nowNanos)));
             }
         }
         return loads;
@@ -206,17 +199,6 @@
         return counters;
     }
 
-    private SendPermission sendPermission(WorkerState worker, ColdStart coldStart, long nowNanos) {
-        if (backoffs.remainingMillis(worker.incarnation(), nowNanos) > 0) {
-            return SendPermission.BACKING_OFF;
-        }
-        OptionalDouble rejections = brittleness.limit(worker.incarnation());
-        if (rejections.isPresent() && !worker.hasRoom(rejections.getAsDouble(), rateShareHolders, nowNanos)) {
-            return SendPermission.DENIED;
-        }
-        return worker.sendPermission(coldStart, limits.limit(worker.incarnation()), rateShareHolders, nowNanos);
-    }
-
     /**
      * Returns how long none of an upstream's workers wants requests from this process.
      *
@@ -226,13 +208,7 @@
      *     backoff, or there is no worker that requests may be sent to
      */
     public OptionalLong sharedBackoffMillis(String upstream, long nowNanos) {
-        if (!backoffs.isAnyActive(nowNanos)) {
-            return OptionalLong.empty();
-        }
-        OptionalLong shortest = eligible(upstream).stream()
-                .mapToLong(worker -> backoffs.remainingMillis(worker.incarnation(), nowNanos))
-                .min();
-        return shortest.isPresent() && shortest.getAsLong() > 0 ? shortest : OptionalLong.empty();
+        return permissions.sharedBackoffMillis(eligible(upstream), nowNanos);
     }
 
     /**
@@ -241,7 +217,7 @@
      * @return the limits of the workers of all upstreams
      */
     public WorkerLimits limits() {
-        return limits;
+        return permissions.limits();
     }
 
     /**
@@ -250,7 +226,7 @@
      * @return the statements of the workers of all upstreams
      */
     public WorkerLimits brittleness() {
-        return brittleness;
+        return permissions.brittleness();
     }
 
     /**
@@ -259,7 +235,7 @@
      * @return the backoffs of the workers of all upstreams, whether published or not
      */
     public WorkerBackoffs backoffs() {
-        return backoffs;
+        return permissions.backoffs();
     }
 
     /**
