Log lines name the worker's software version and the stream that a client resumes

Lines of requests, broken attempts and relayed requests and the audit lines of workers lacked the version, so that it took the operators' log to tell whether a stream crossed versions, and nothing showed that a client came back with a stream. The version is now read from a worker's entry, and Resumes from the request. No decision uses either.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.edge;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -88,7 +89,16 @@
                 table.urgency(route, customer),
                 prompt,
                 arrivalNanos,
-                arrivalNanos + timeoutMillis * NANOS_PER_MILLI);
+                arrivalNanos + timeoutMillis * NANOS_PER_MILLI,
+                resumes(route, headers));
+    }
+
+    /** Returns which stream a request resumes; only requests for streams resume any. */
+    private Optional<String> resumes(Route route, HttpHeaders headers) {
+        List<String> ids = dialect.resumedRequestIds(headers);
+        boolean isResumption =
+                !ids.isEmpty() || !headers.get(dialect.lastEventIdHeader(), "").isBlank();
+        return route.isStreaming() && isResumption ? Optional.of(ids.isEmpty() ? "" : ids.get(0)) : Optional.empty();
     }
 
     /** Returns a client's headers without hop-by-hop headers and those that only the router may set. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
@@ -237,7 +237,8 @@
                         relayed.getPriority(),
                         prompt,
                         nowNanos - relayed.getElapsedMillis() * NANOS_PER_MILLI,
-                        nowNanos + relayed.getRemainingMillis() * NANOS_PER_MILLI),
+                        nowNanos + relayed.getRemainingMillis() * NANOS_PER_MILLI,
+                        Optional.empty()),
                 HttpMethod.valueOf(relayed.getMethod()),
                 relayed.getUri(),
                 headers,
@@ -285,6 +286,7 @@
         MDC.put("route", relayed.getRoute());
         MDC.put("customer", relayed.getCustomer());
         MDC.put("worker", call.lastWorkerId());
+        MDC.put("version", call.lastWorkerVersion());
         MDC.put("sends", Integer.toString(call.sendCount()));
         LOG.info("relayed request ended");
         MDC.clear();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestLog.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestLog.java
@@ -48,9 +48,11 @@
             MDC.put("route", call.attributes().route().name());
             MDC.put("customer", call.attributes().customer());
             MDC.put("worker", call.lastWorkerId());
+            MDC.put("version", call.lastWorkerVersion());
             if (!call.relayPeer().isEmpty()) {
                 MDC.put("relay", call.relayPeer());
             }
+            call.attributes().resumes().ifPresent(resumed -> MDC.put("resumes", resumed));
             MDC.put("sends", Integer.toString(call.sendCount()));
             MDC.put("waitedMillis", Long.toString(call.firstSendMillis()));
             MDC.put("urgency", Integer.toString(call.attributes().priority()));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
@@ -99,6 +99,7 @@
         MDC.put("customer", call.attributes().customer());
         MDC.put("route", call.attributes().route().name());
         MDC.put("worker", attempt.worker().id());
+        MDC.put("version", attempt.worker().version());
         MDC.put("workerState", result.name());
         MDC.put("attemptMillis", Long.toString(Math.round(attempt.elapsedMillis())));
         MDC.put("attemptEvents", Integer.toString(attempt.eventCount()));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import org.dotterelcourse.gateway.routing.Route;
 import org.dotterelcourse.gateway.routing.UpstreamSpec;
+import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.policy.quarantine.Fingerprint;
 import org.dotterelcourse.policy.selection.Prompt;
 
@@ -27,6 +28,7 @@
     private int connectFailureCount;
     private boolean isPossiblyExecuted;
     private final EventProgress events;
+    private final VersionBinding versions = new VersionBinding();
     private Fingerprint fingerprint;
     private boolean isSuspect;
     private long sentNanos;
@@ -49,6 +51,8 @@
      * @param prompt the prompt, or empty if the upstream has no engines or the request does not describe its prompt
      * @param arrivalNanos the monotonic time of the request's arrival in nanoseconds
      * @param deadlineNanos the monotonic time in nanoseconds by which the request must have its final response
+     * @param resumes id of the request in whose response the stream began that this request resumes, or empty if the client
+     *     does not name it; absent unless the request resumes a stream
      */
     public record Attributes(
             String id,
@@ -58,7 +62,8 @@
             int priority,
             Optional<Prompt> prompt,
             long arrivalNanos,
-            long deadlineNanos) {}
+            long deadlineNanos,
+            Optional<String> resumes) {}
 
     /**
      * Creates a call without any attempts.
@@ -97,7 +102,8 @@
                 attributes.priority(),
                 Optional.of(prompt),
                 attributes.arrivalNanos(),
-                attributes.deadlineNanos());
+                attributes.deadlineNanos(),
+                attributes.resumes());
     }
 
     HttpMethod method() {
@@ -124,16 +130,22 @@
         return triedWorkers;
     }
 
+    /** Returns the software version that workers must have. */
+    VersionBinding versions() {
+        return versions;
+    }
+
     /** Records that the request is about to be sent to a worker. */
-    void recordSend(String workerId, long nowNanos) {
+    void recordSend(WorkerEntry worker, long nowNanos) {
         if (sentNanos == 0) {
             firstSendMillis = (nowNanos - attributes.arrivalNanos()) / NANOS_PER_MILLI;
         }
         sentNanos = nowNanos;
         events.beginAttempt();
         wasPlaced = true;
-        triedWorkers.add(workerId);
-        lastWorkerId = workerId;
+        triedWorkers.add(worker.id());
+        lastWorkerId = worker.id();
+        versions.beginAttempt(worker.version());
         sendCount++;
     }
 
@@ -330,4 +342,13 @@
     public String lastWorkerId() {
         return lastWorkerId;
     }
+
+    /**
+     * Returns the software version of the worker that the request was last sent to.
+     *
+     * @return the version, or empty if it is unknown or the request was not sent
+     */
+    public String lastWorkerVersion() {
+        return versions.attemptVersion();
+    }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Dialect.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Dialect.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -17,6 +18,14 @@
      */
     String requestId(HttpHeaders headers);
 
+    /**
+     * Returns the ids of the requests whose streams a request resumes.
+     *
+     * @param headers the headers of the client's request
+     * @return the distinct ids, without empty ones; more than one if the client contradicts itself
+     */
+    List<String> resumedRequestIds(HttpHeaders headers);
+
     /**
      * Returns how long the client waits for the response.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
@@ -71,7 +71,7 @@
                 .find(call.lastWorkerId())
                 .map(WorkerState::entry)
                 .orElseGet(() -> new WorkerEntry(
-                        call.lastWorkerId(), 0, call.attributes().upstream().name(), "", 0, "", 0, false, 0));
+                        call.lastWorkerId(), 0, call.attributes().upstream().name(), "", 0, "", 0, false, 0, ""));
         return Placement.atPeer(entry, nowNanos);
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
@@ -171,13 +171,13 @@
     }
 
     private Outcome placeWithoutPrompt(Call call, WorkerState worker, long nowNanos) {
-        call.recordSend(worker.entry().id(), nowNanos);
+        call.recordSend(worker.entry(), nowNanos);
         return new Outcome.Placed(place(call, worker, false, 0, nowNanos), "");
     }
 
     private Outcome placeAtEngine(Call call, WorkerState worker, SelectionResult.Selected selected, long nowNanos) {
         Prompt prompt = call.attributes().prompt().orElseThrow();
-        call.recordSend(worker.entry().id(), nowNanos);
+        call.recordSend(worker.entry(), nowNanos);
         double prefillMillis = prompt.prefillMillis(selected.cachedTokens());
         state.cachedPrefixes().recordSent(prompt, worker.entry().incarnation(), nowNanos);
         if (prompt.latencyClass() == LatencyClass.DELAY_TOLERANT) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerEntry.java
@@ -14,6 +14,7 @@
  * @param slots number of requests that it can run concurrently
  * @param leaving whether it is shutting down and takes no new requests
  * @param coldMillis how much longer it remains cold, in milliseconds, as published by the worker; 0 if it is warm
+ * @param version version of its software, which may differ between the workers of an upstream; empty if it is unknown
  */
 public record WorkerEntry(
         String id,
@@ -24,7 +25,8 @@
         String dataCentre,
         int slots,
         boolean leaving,
-        long coldMillis) {
+        long coldMillis,
+        String version) {
     /**
      * Returns this entry with {@link #leaving} set.
      *
@@ -33,7 +35,7 @@
     public WorkerEntry toLeaving() {
         return leaving
                 ? this
-                : new WorkerEntry(id, startMillis, upstream, host, port, dataCentre, slots, true, coldMillis);
+                : new WorkerEntry(id, startMillis, upstream, host, port, dataCentre, slots, true, coldMillis, version);
     }
 
     /**
@@ -48,10 +50,11 @@
     /**
      * Describes this entry for the audit trail.
      *
-     * @return upstream, address, state and start
+     * @return upstream, address, software version, state and start
      */
     public String describe() {
-        return upstream + " " + host + ":" + port + (leaving ? " leaving" : " live")
+        return upstream + " " + host + ":" + port + (version.isEmpty() ? "" : " version " + version)
+                + (leaving ? " leaving" : " live")
                 + (startMillis == 0 ? "" : " since " + startMillis);
     }
 
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/FleetTimingsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/FleetTimingsTest.java
@@ -139,6 +139,6 @@
     }
 
     private static WorkerEntry entry(int index) {
-        return new WorkerEntry("engine-" + index, 1, "engines", "10.0.0.1", 1 + index, "dc", 32, false, 0);
+        return new WorkerEntry("engine-" + index, 1, "engines", "10.0.0.1", 1 + index, "dc", 32, false, 0, "");
     }
 }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/RouterLoadProgram.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/RouterLoadProgram.java
@@ -124,7 +124,8 @@
                         "dc-" + number % 4,
                         slots,
                         false,
-                        0),
+                        0,
+                        ""),
                 now);
     }
 
@@ -260,7 +261,8 @@
         for (int i = 0; i < MESSAGES; i++) {
             Map<Integer, PeerLoads.Load> loads = new HashMap<>();
             while (loads.size() < rows) {
-                int worker = new WorkerEntry("engine-" + random.nextInt(fleet.engines()), 1, "", "", 0, "", 0, false, 0)
+                int worker = new WorkerEntry(
+                                "engine-" + random.nextInt(fleet.engines()), 1, "", "", 0, "", 0, false, 0, "")
                         .incarnation();
                 loads.put(
                         worker,
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/SharedBackoffTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/SharedBackoffTest.java
@@ -62,7 +62,7 @@
     /** Publishes a worker for each value, with a backoff of so many milliseconds; 0 for none. */
     private void requestBackoffs(long... millis) {
         for (int i = 0; i < millis.length; i++) {
-            WorkerEntry entry = new WorkerEntry("w-" + i, 0, "plain", "10.0.0." + i, 80, "dc-a", 6, false, 0);
+            WorkerEntry entry = new WorkerEntry("w-" + i, 0, "plain", "10.0.0." + i, 80, "dc-a", 6, false, 0, "");
             state.workers().addOrUpdate(entry, NOW_NANOS);
             state.workers().backoffs().extend(entry.incarnation(), millis[i], NOW_NANOS);
         }
@@ -84,7 +84,15 @@
                 false);
         UpstreamSpec upstream = new UpstreamSpec("plain", false, 1, TransferCost.unsupported(), ColdStart.none());
         Call.Attributes attributes = new Call.Attributes(
-                "id", route, upstream, "bank", 0, Optional.empty(), NOW_NANOS, NOW_NANOS + 5_000_000_000L);
+                "id",
+                route,
+                upstream,
+                "bank",
+                0,
+                Optional.empty(),
+                NOW_NANOS,
+                NOW_NANOS + 5_000_000_000L,
+                Optional.empty());
         return new Call(attributes, HttpMethod.POST, "/1", new DefaultHttpHeaders(), new byte[0]);
     }
 }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/SuspectPlacementTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/SuspectPlacementTest.java
@@ -40,7 +40,7 @@
     @BeforeEach
     void publishEngines() {
         for (int i = 0; i < ENGINE_COUNT; i++) {
-            WorkerEntry entry = new WorkerEntry("e-" + i, 0, "llm", "10.0.0." + i, 80, "dc-a", 16, false, 0);
+            WorkerEntry entry = new WorkerEntry("e-" + i, 0, "llm", "10.0.0." + i, 80, "dc-a", 16, false, 0, "");
             state.workers().addOrUpdate(entry, NOW_NANOS);
         }
     }
@@ -96,7 +96,15 @@
                 false,
                 true);
         Call.Attributes attributes = new Call.Attributes(
-                id, route, UPSTREAM, "bank", 0, Optional.of(PROMPT), NOW_NANOS, NOW_NANOS + 8_000_000_000L);
+                id,
+                route,
+                UPSTREAM,
+                "bank",
+                0,
+                Optional.of(PROMPT),
+                NOW_NANOS,
+                NOW_NANOS + 8_000_000_000L,
+                Optional.empty());
         Call call = new Call(attributes, HttpMethod.POST, "/1", new DefaultHttpHeaders(), new byte[0]);
         call.setSuspect(true);
         return call;
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
@@ -46,7 +46,7 @@
             CompletableFuture<Void> worker =
                     CompletableFuture.runAsync(() -> serveTwoRequests(server, secondRequest, cancelled));
             WorkerClient client = new WorkerClient(loop, UnaryOperator.identity());
-            WorkerEntry entry = new WorkerEntry("w", 0, "u", "127.0.0.1", server.getLocalPort(), "dc", 1, false, 0);
+            WorkerEntry entry = new WorkerEntry("w", 0, "u", "127.0.0.1", server.getLocalPort(), "dc", 1, false, 0, "");
 
             CountDownLatch firstItem = new CountDownLatch(1);
             BaseSubscriber<byte[]> slowClient = new BaseSubscriber<>() {
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/ColdWorkersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/ColdWorkersTest.java
@@ -138,7 +138,7 @@
     }
 
     private void publish(long coldMillis, long nowNanos) {
-        WorkerEntry entry = new WorkerEntry("w", 1, "u", "10.0.0.1", 8000, "dc", 64, false, coldMillis);
+        WorkerEntry entry = new WorkerEntry("w", 1, "u", "10.0.0.1", 8000, "dc", 64, false, coldMillis, "");
         fleet.forEach(process -> process.addOrUpdate(entry, nowNanos));
     }
 
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/CollectedLoadsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/CollectedLoadsTest.java
@@ -19,7 +19,7 @@
         Random random = new Random(2);
         Workers workers = new Workers();
         for (int i = 0; i < 12; i++) {
-            workers.addOrUpdate(new WorkerEntry("w-" + i, 1, "e", "10.0.0." + i, 1, "dc", 8, false, 0), 0);
+            workers.addOrUpdate(new WorkerEntry("w-" + i, 1, "e", "10.0.0." + i, 1, "dc", 8, false, 0, ""), 0);
         }
         int rows = 0;
         for (long now = TENTH; now < 2_000 * TENTH; now += TENTH) {
@@ -67,7 +67,7 @@
         for (int i = random.nextInt(6); i > 0; i--) {
             String id = "w-" + random.nextInt(14);
             loads.put(
-                    new WorkerEntry(id, 1, "", "", 0, "", 0, false, 0).incarnation(),
+                    new WorkerEntry(id, 1, "", "", 0, "", 0, false, 0, "").incarnation(),
                     new PeerLoads.Load(1 + random.nextInt(5), 1, random.nextInt(500), random.nextInt(90) / 10.0, 0.1));
         }
         return loads;
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerIndexTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerIndexTest.java
@@ -74,7 +74,8 @@
                 "dc-" + random.nextInt(4),
                 1 + random.nextInt(8),
                 random.nextInt(8) == 0,
-                0);
+                0,
+                "");
         workers.addOrUpdate(entry, nowNanos);
         published.put(id, !restarts && before.leaving() ? entry.toLeaving() : entry);
         if (restarts) {
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerStatementsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerStatementsTest.java
@@ -97,6 +97,6 @@
     }
 
     private static WorkerEntry entry(String id, long startMillis, boolean leaving) {
-        return new WorkerEntry(id, startMillis, "u", "10.0.0." + id.hashCode(), 80, "dc", 6, leaving, 0);
+        return new WorkerEntry(id, startMillis, "u", "10.0.0." + id.hashCode(), 80, "dc", 6, leaving, 0, "");
     }
 }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerTimingsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerTimingsTest.java
@@ -177,6 +177,6 @@
     }
 
     private static WorkerEntry entry(String id, long startMillis) {
-        return new WorkerEntry(id, startMillis, "engines", "10.0.0.1", 1 + id.hashCode(), "dc", 32, false, 0);
+        return new WorkerEntry(id, startMillis, "engines", "10.0.0.1", 1 + id.hashCode(), "dc", 32, false, 0, "");
     }
 }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
@@ -84,7 +84,7 @@
     void aLateEntryOfAnEarlierStartIsIgnored() {
         publish(entryStartedAt("a", 2_000, "u"));
         WorkerState current = workers.find("a").orElseThrow();
-        publish(new WorkerEntry("a", 1_000, "u", "10.0.0.1", 8000, "dc", 4, true, 0));
+        publish(new WorkerEntry("a", 1_000, "u", "10.0.0.1", 8000, "dc", 4, true, 0, ""));
         assertThat(workers.find("a")).containsSame(current);
         assertThat(candidateIds()).containsExactly("a");
     }
@@ -230,14 +230,14 @@
     }
 
     private static WorkerEntry entryIn(String id, int host, String dataCentre) {
-        return new WorkerEntry(id, 0, "u", "10.0.0." + host, 8000, dataCentre, 4, false, 0);
+        return new WorkerEntry(id, 0, "u", "10.0.0." + host, 8000, dataCentre, 4, false, 0, "");
     }
 
     private static WorkerEntry entryStartedAt(String id, long startMillis, String upstream) {
-        return new WorkerEntry(id, startMillis, upstream, "10.0.0.1", 8000, "dc", 4, false, 0);
+        return new WorkerEntry(id, startMillis, upstream, "10.0.0.1", 8000, "dc", 4, false, 0, "");
     }
 
     private static WorkerEntry entry(String id, int host, boolean leaving) {
-        return new WorkerEntry(id, 0, "u", "10.0.0." + host, 8000, "dc", 4, leaving, 0);
+        return new WorkerEntry(id, 0, "u", "10.0.0." + host, 8000, "dc", 4, leaving, 0, "");
     }
 }
