A stream that breaks goes on only at workers of the software version that began it

Callers got answers put together from events of two software versions. The version of a worker stood in its entry and was dropped when the entry was read; a resumption within an answer took any other worker. VersionBinding now holds the version of the worker that sent the first event, as it was when the request was sent; until then any worker may have the request. Each way to a worker keeps to it: selection with and without a prompt, retries, suspects, the queue (a bound call passes it, so that it does not hold up those behind), shared backoffs, and relays: the peer gets the version in a new field and tells the version of the worker it used. A peer of an earlier release ignores the field, so workers of other versions that the sender knows are excluded by name, and an answer of another or unknown version is not passed on. An entry with another version under the same id is a new worker.

Ruled out: binding at the first attempt, which would tie a request that has brought nothing to a version; restarting the stream, since the client has its first events.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
@@ -244,11 +244,15 @@
                 headers,
                 relayed.getBody().toByteArray());
         call.continueForPeer(relayed.getExcludedWorkersList(), relayed.getRetried(), relayed.getLastEventId());
+        if (relayed.hasVersion()) {
+            call.requireVersion(relayed.getVersion());
+        }
         return call;
     }
 
     private Mono<Void> send(HttpServerResponse response, Call call, Reply reply) {
         response.header(RelayHeaders.WORKER, call.lastWorkerId())
+                .header(RelayHeaders.VERSION, call.lastWorkerVersion())
                 .header(RelayHeaders.SENDS, Integer.toString(call.sendCount()));
         if (reply instanceof Reply.Local local) {
             boolean isNotExecuted = local.reply().status() == LocalReply.UNAVAILABLE;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -215,6 +215,15 @@
         events.continueAfter(resumeAfterEventId);
     }
 
+    /**
+     * Requires workers of a software version, because the client has got earlier events of the stream from one.
+     *
+     * @param version the version
+     */
+    public void requireVersion(String version) {
+        versions.bind(version);
+    }
+
     /** Returns whether the request is one of a peer's client. Such a request is not relayed to another peer. */
     boolean isForPeer() {
         return isForPeer;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineQueues.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EngineQueues.java
@@ -87,9 +87,12 @@
         this.random = random;
     }
 
-    /** Returns whether a call must pass the queue. Retries bypass it, so that no call is queued twice. */
+    /**
+     * Returns whether a call must pass the queue. Retries and resumptions bypass it: no call is queued twice, and one that
+     * only workers of one software version can serve does not hold up those behind it.
+     */
     static boolean isQueueable(Call call) {
-        return isDelayTolerant(call) && !call.wasPlaced();
+        return isDelayTolerant(call) && !call.wasPlaced() && !call.versions().isBound();
     }
 
     /** Returns whether a call's latency target is longer than the time in which an engine processes a long prompt. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
@@ -10,6 +10,9 @@
     /** About the duration of a few calls without a prompt, after which a slot has become free. */
     private static final long RETRY_AFTER_FULL_MILLIS = 250;
 
+    /** About the time after which a crashed worker is back, or another one of its software version has room. */
+    private static final long RETRY_AFTER_NO_VERSION_MILLIS = 1_000;
+
     private final SharedBackoff sharedBackoff;
 
     FinalReplies(SharedBackoff sharedBackoff) {
@@ -32,7 +35,19 @@
                 backoff.isPresent()
                         ? LocalReply.notExecuted(SharedBackoff.REASON + ", " + reason, backoff.getAsLong())
                         : LocalReply.notExecuted(
-                                reason, Math.max(RETRY_AFTER_FULL_MILLIS, call.relayRetryAfterMillis())));
+                                explain(call, reason),
+                                Math.max(
+                                        call.versions().isBound()
+                                                ? RETRY_AFTER_NO_VERSION_MILLIS
+                                                : RETRY_AFTER_FULL_MILLIS,
+                                        call.relayRetryAfterMillis())));
+    }
+
+    private static String explain(Call call, String reason) {
+        return call.versions().isBound()
+                ? reason + ", the stream needs a worker of software version "
+                        + call.versions().version()
+                : reason;
     }
 
     /** Rejects a quarantined request, unless a worker has responded to it before or may have executed it. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -228,7 +228,15 @@
             Call call, RelayTarget peer, RelayResult result, Optional<BufferedResponse> earlierResponse) {
         Placement placement = relays.placement(call, state, loop.nowNanos());
         if (result instanceof RelayResult.Responded responded) {
-            return handleResponse(call, placement, responded.response());
+            if (relays.acceptsVersion(call, placement)) {
+                return handleResponse(call, placement, responded.response());
+            }
+            responded.response().close().run();
+            return handleResult(
+                    call,
+                    placement,
+                    new AttemptResult.Unknown("peer " + peer.name() + " used a worker of another software version"),
+                    earlierResponse);
         }
         if (result instanceof RelayResult.NotExecuted notExecuted) {
             call.recordRelayRetryAfter(notExecuted.retryAfterMillis());
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
@@ -55,12 +55,12 @@
     }
 
     Mono<RelayResult> send(Call call, RelayTarget peer) {
-        List<String> leaving =
-                reachability.links().leaving(call.attributes().upstream().name());
+        List<String> excluded =
+                reachability.links().excluded(call.attributes().upstream().name(), call.versions()::accepts);
         return Mono.defer(() -> {
             relayed.inc();
             peers.ifPresent(each -> each.recordBegin(peer.name()));
-            return client.send(call, peer, leaving)
+            return client.send(call, peer, excluded)
                     .doFinally(signal -> peers.ifPresent(each -> each.recordEnd(peer.name())));
         });
     }
@@ -75,6 +75,19 @@
         return Placement.atPeer(entry, nowNanos);
     }
 
+    /**
+     * Determines the software version of the worker that a peer has used, which a peer of an earlier release does not tell.
+     * Such a peer does not know either that the worker must have a certain version.
+     *
+     * @return whether the response may be passed on
+     */
+    boolean acceptsVersion(Call call, Placement placement) {
+        if (call.versions().attemptVersion().isEmpty()) {
+            call.versions().beginAttempt(placement.entry().version());
+        }
+        return call.versions().accepts(call.versions().attemptVersion());
+    }
+
     /** Returns the result of an attempt to which the peer has not sent a worker's response. */
     AttemptResult toResult(Call call, RelayTarget peer, RelayResult result) {
         failed.inc();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayClient.java
@@ -85,6 +85,9 @@
                 .setLastEventId(call.events().lastId())
                 .setRetried(call.wasPlaced() || call.sendCount() > 0)
                 .setSender(self);
+        if (call.versions().isBound()) {
+            request.setVersion(call.versions().version());
+        }
         for (Map.Entry<String, String> header : call.headers()) {
             request.addHeaderNames(header.getKey()).addHeaderValues(header.getValue());
         }
@@ -98,6 +101,7 @@
         int sends = (int) number(headers, RelayHeaders.SENDS);
         long retryAfterMillis = number(headers, RelayHeaders.RETRY_MILLIS);
         call.recordRelayedSends(headers.get(RelayHeaders.WORKER, ""), sends);
+        call.versions().beginAttempt(headers.get(RelayHeaders.VERSION, ""));
         RelayHeaders.removeFrom(headers);
         if (outcome.equals(RelayHeaders.RESPONDED)) {
             return Mono.just(new RelayResult.Responded(response));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayHeaders.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayHeaders.java
@@ -24,6 +24,9 @@
     /** Id of the worker that the request was last sent to; absent if it was sent to none. */
     public static final String WORKER = "Relay-Worker";
 
+    /** Software version of that worker; absent if it is unknown, and in responses of earlier releases. */
+    public static final String VERSION = "Relay-Version";
+
     /** Number of workers that the request was sent to. */
     public static final String SENDS = "Relay-Sends";
 
@@ -33,7 +36,7 @@
     /** Time in milliseconds after which a request that was not executed should be retried. */
     public static final String RETRY_MILLIS = "Relay-Retry-Millis";
 
-    private static final List<String> ALL = List.of(OUTCOME, WORKER, SENDS, REASON, RETRY_MILLIS);
+    private static final List<String> ALL = List.of(OUTCOME, WORKER, VERSION, SENDS, REASON, RETRY_MILLIS);
 
     private RelayHeaders() {}
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/SharedBackoff.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/SharedBackoff.java
@@ -30,11 +30,11 @@
 
     /**
      * Returns after how many milliseconds the client should retry: not before the first worker's backoff has ended. Empty
-     * unless all workers of the call's upstream have asked for a backoff.
+     * unless all workers of the call's upstream that can serve it have asked for a backoff.
      */
     OptionalLong retryAfterMillis(Call call, long nowNanos) {
-        OptionalLong remaining =
-                state.workers().sharedBackoffMillis(call.attributes().upstream().name(), nowNanos);
+        OptionalLong remaining = state.workers()
+                .sharedBackoffMillis(call.attributes().upstream().name(), call.versions()::accepts, nowNanos);
         if (remaining.isEmpty()) {
             return remaining;
         }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
@@ -52,6 +52,7 @@
                     if (!placement.isAtPeer()) {
                         reachability.recordReceived(nowNanos);
                     }
+                    bindVersion(call);
                     placement.recordEvent(call.attributes().upstream().tokensPerEvent(), nowNanos);
                     call.events().record(event.id(), nowNanos);
                     recordEventTiming(call);
@@ -77,6 +78,21 @@
         });
     }
 
+    /**
+     * Binds a stream to the software version of the worker that has sent its first event. A worker that has restarted under
+     * its id at another version since the request was sent may have sent it as either of them.
+     */
+    private void bindVersion(Call call) {
+        if (!call.versions().isBound()) {
+            String version = call.versions().attemptVersion();
+            boolean hasChanged = state.workers()
+                    .find(call.lastWorkerId())
+                    .filter(worker -> !worker.entry().version().equals(version))
+                    .isPresent();
+            call.versions().bind(hasChanged ? "" : version);
+        }
+    }
+
     private void recordEventTiming(Call call) {
         EngineModel model = state.engineModel(call.attributes().upstream().name());
         if (call.events().count() > 1) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamResumption.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamResumption.java
@@ -8,8 +8,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Resumes a broken stream after its last complete event at another worker, within the same response. The first worker has
- * stopped, because its connection is closed.
+ * Resumes a broken stream after its last complete event at another worker of the same software version, within the same
+ * response. The first worker has stopped, because its connection is closed.
  */
 final class StreamResumption {
     private final GatewayLoop loop;
@@ -40,7 +40,7 @@
         Mono<Void> handled = placement.isAtPeer()
                 ? Mono.empty()
                 : failureHandler.handleFailure(call, placement.entry(), error.getMessage());
-        if (!call.attributes().route().isRetryable()) {
+        if (!call.attributes().route().isRetryable() || call.versions().isUnknown()) {
             return Flux.error(error);
         }
         return handled.thenMany(Flux.defer(() -> resumeElsewhere(call, error)));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
@@ -154,12 +154,13 @@
         if (call.isSuspect()) {
             Set<String> excluded = new HashSet<>(call.triedWorkers());
             excluded.addAll(workers.withSuspectRequests());
-            List<WorkerLoad> withoutSuspects = workers.candidates(upstream, excluded, nowNanos);
+            List<WorkerLoad> withoutSuspects =
+                    workers.candidates(upstream, excluded, call.versions()::accepts, nowNanos);
             if (withoutSuspects.stream().anyMatch(WorkerLoad::canReceive)) {
                 return withoutSuspects;
             }
         }
-        return workers.candidates(upstream, call.triedWorkers(), nowNanos);
+        return workers.candidates(upstream, call.triedWorkers(), call.versions()::accepts, nowNanos);
     }
 
     private Placement place(Call call, WorkerState worker, boolean isInteractive, double prefillMillis, long nowNanos) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/SendPermissions.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/SendPermissions.java
@@ -4,6 +4,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.rate.WorkerBackoffs;
@@ -51,12 +52,13 @@
         return worker.sendPermission(coldStart, limits.limit(worker.incarnation()), rateShareHolders, nowNanos);
     }
 
-    /** Returns the time until the first backoff of the workers ends; empty unless all of them have asked for one. */
-    OptionalLong sharedBackoffMillis(List<WorkerState> workers, long nowNanos) {
+    /** Returns the time until the first backoff of the accepted workers ends; empty unless all of them have asked for one. */
+    OptionalLong sharedBackoffMillis(List<WorkerState> workers, Predicate<WorkerEntry> accepted, long nowNanos) {
         if (!backoffs.isAnyActive(nowNanos)) {
             return OptionalLong.empty();
         }
         OptionalLong shortest = workers.stream()
+                .filter(worker -> accepted.test(worker.entry()))
                 .mapToLong(worker -> backoffs.remainingMillis(worker.incarnation(), nowNanos))
                 .min();
         return shortest.isPresent() && shortest.getAsLong() > 0 ? shortest : OptionalLong.empty();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerLinks.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerLinks.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.IntPredicate;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /** What a process without links to the workers needs to know of all of them. Used on the gateway's event loop only. */
@@ -85,15 +86,18 @@
     }
 
     /**
-     * Returns the workers of an upstream that this process knows to be leaving.
+     * Returns the workers of an upstream that a peer must not use for a request, as far as this process knows: those that are
+     * leaving, and those that can't serve it.
      *
      * @param upstream name of the upstream
+     * @param accepted whether the worker with an entry can serve the request
      * @return ids of the workers
      */
-    public List<String> leaving(String upstream) {
+    public List<String> excluded(String upstream, Predicate<WorkerEntry> accepted) {
         return workers.all().stream()
                 .map(WorkerState::entry)
-                .filter(entry -> entry.upstream().equals(upstream) && workers.isLeaving(entry))
+                .filter(entry -> entry.upstream().equals(upstream))
+                .filter(entry -> workers.isLeaving(entry) || !accepted.test(entry))
                 .map(WorkerEntry::id)
                 .toList();
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -61,7 +61,9 @@
             return;
         }
         WorkerState current = existing;
-        if (existing != null && entry.incarnation() == existing.incarnation()) {
+        if (existing != null
+                && entry.incarnation() == existing.incarnation()
+                && entry.version().equals(existing.entry().version())) {
             WorkerEntry updated = existing.entry().leaving() ? entry.toLeaving() : entry;
             if (!WorkerIndex.isEquivalent(existing.entry(), updated)) {
                 index.invalidate();
@@ -172,6 +174,21 @@
      * @return the loads of the workers, including those of peers, in the order of {@link WorkerRanking}
      */
     public List<WorkerLoad> candidates(String upstream, Set<String> excluded, long nowNanos) {
+        return candidates(upstream, excluded, entry -> true, nowNanos);
+    }
+
+    /**
+     * Returns the workers that a request may be sent to, as {@link #candidates(String, Set, long)} does, among those that can
+     * serve it.
+     *
+     * @param upstream name of the upstream
+     * @param excluded names of workers to leave out
+     * @param accepted whether the worker with an entry can serve the request
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return the loads of the workers
+     */
+    public List<WorkerLoad> candidates(
+            String upstream, Set<String> excluded, Predicate<WorkerEntry> accepted, long nowNanos) {
         counters.recordSelection();
         refreshPeerLoads(nowNanos);
         List<WorkerState> serving = eligible(upstream);
@@ -183,7 +200,9 @@
         boolean fewSuspects = suspects <= MAX_SUSPECTED_FRACTION * serving.size();
         List<WorkerLoad> loads = new ArrayList<>(serving.size());
         for (WorkerState worker : serving) {
-            if (excluded.isEmpty() || !excluded.contains(worker.entry().id())) {
+            boolean isExcluded =
+                    !excluded.isEmpty() && excluded.contains(worker.entry().id());
+            if (!isExcluded && accepted.test(worker.entry())) {
                 loads.add(worker.load(nowNanos, fewSuspects, permissions.permission(worker, coldStart, nowNanos)));
             }
         }
@@ -203,12 +222,13 @@
      * Returns how long none of an upstream's workers wants requests from this process.
      *
      * @param upstream name of the upstream
+     * @param accepted whether the worker with an entry can serve the request
      * @param nowNanos current monotonic time in nanoseconds
      * @return the time in milliseconds until the first worker's backoff ends; empty if a worker has not asked for a
      *     backoff, or there is no worker that requests may be sent to
      */
-    public OptionalLong sharedBackoffMillis(String upstream, long nowNanos) {
-        return permissions.sharedBackoffMillis(eligible(upstream), nowNanos);
+    public OptionalLong sharedBackoffMillis(String upstream, Predicate<WorkerEntry> accepted, long nowNanos) {
+        return permissions.sharedBackoffMillis(eligible(upstream), accepted, nowNanos);
     }
 
     /**
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerStatementsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerStatementsTest.java
@@ -48,20 +48,20 @@
 
     @Test
     void theSharedBackoffEndsWithTheFirstOfAllWorkers() {
-        assertThat(workers.sharedBackoffMillis("u", 0)).isEmpty();
+        assertThat(workers.sharedBackoffMillis("u", worker -> true, 0)).isEmpty();
         requestBackoff("a", 3_000);
-        assertThat(workers.sharedBackoffMillis("u", 0)).isEmpty();
+        assertThat(workers.sharedBackoffMillis("u", worker -> true, 0)).isEmpty();
         requestBackoff("b", 5_000);
-        assertThat(workers.sharedBackoffMillis("u", SECOND)).hasValue(2_000);
-        assertThat(workers.sharedBackoffMillis("u", 3 * SECOND)).isEmpty();
-        assertThat(workers.sharedBackoffMillis("other", SECOND)).isEmpty();
+        assertThat(workers.sharedBackoffMillis("u", worker -> true, SECOND)).hasValue(2_000);
+        assertThat(workers.sharedBackoffMillis("u", worker -> true, 3 * SECOND)).isEmpty();
+        assertThat(workers.sharedBackoffMillis("other", worker -> true, SECOND)).isEmpty();
     }
 
     @Test
     void aLeavingWorkerDoesNotCountForTheSharedBackoff() {
         requestBackoff("a", 3_000);
         workers.addOrUpdate(entry("b", 1_000, true), 0);
-        assertThat(workers.sharedBackoffMillis("u", 0)).hasValue(3_000);
+        assertThat(workers.sharedBackoffMillis("u", worker -> true, 0)).hasValue(3_000);
     }
 
     @Test
