--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/CollectedLoads.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/CollectedLoads.java
@@ -8,11 +8,11 @@
  * workers that the receiver uses itself, so the sums are formed once for all receivers.
  */
 public final class CollectedLoads {
-    private final PeerLoads peerLoads;
+    private final LoadSums loadSums;
     private final Workers workers;
 
-    CollectedLoads(PeerLoads peerLoads, Workers workers) {
-        this.peerLoads = peerLoads;
+    CollectedLoads(LoadSums loadSums, Workers workers) {
+        this.loadSums = loadSums;
         this.workers = workers;
     }
 
@@ -23,7 +23,7 @@
      * @return loads by incarnation of the worker
      */
     public Map<Integer, PeerLoads.Load> all(long nowNanos) {
-        return workers.plusLocalLoads(new HashMap<>(peerLoads.total(nowNanos)), nowNanos);
+        return loadSums.plusLocal(new HashMap<>(loadSums.peerLoads().total(nowNanos)), nowNanos);
     }
 
     /**
@@ -34,7 +34,7 @@
      * @return loads by incarnation of the worker
      */
     Map<Integer, PeerLoads.Load> excluding(String peer, long nowNanos) {
-        return workers.plusLocalLoads(peerLoads.totalExcluding(peer, nowNanos), nowNanos);
+        return loadSums.plusLocal(loadSums.peerLoads().totalExcluding(peer, nowNanos), nowNanos);
     }
 
     /**
@@ -45,7 +45,7 @@
      * @return loads by incarnation of the worker; {@link PeerLoads.Load#NONE} for a worker that only this process uses
      */
     public Map<Integer, PeerLoads.Load> changesExcluding(String peer, long nowNanos) {
-        Map<Integer, PeerLoads.Load> changes = peerLoads.changesExcluding(peer, nowNanos);
+        Map<Integer, PeerLoads.Load> changes = loadSums.peerLoads().changesExcluding(peer, nowNanos);
         for (Map.Entry<Integer, PeerLoads.Load> change : changes.entrySet()) {
             workers.findByIncarnation(change.getKey())
                     .filter(worker -> worker.hasLocalLoad(nowNanos))
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -29,22 +29,16 @@
      */
     private static final double MAX_SUSPECTED_FRACTION = 0.34;
 
-    /** Interval at which the sums are recomputed without new reports, so that reports of silent peers expire. */
-    private static final long REFRESH_INTERVAL_NANOS = 500_000_000L;
-
     private final Map<String, WorkerState> byId = new HashMap<>();
     private final Map<Integer, WorkerState> byIncarnation = new HashMap<>();
-    private final PeerLoads peerLoads = new PeerLoads();
-    private boolean sumsOutdated;
-    private long refreshedNanos;
-
+    private final LoadSums loadSums = new LoadSums(byId.values());
     private final Set<String> evacuated = new HashSet<>();
     private final SendPermissions permissions = new SendPermissions();
     private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
     private final SelectionCounters counters = new SelectionCounters();
     private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible, counters);
     private int indexedLeavingWorkers;
-    private final CollectedLoads collectedLoads = new CollectedLoads(peerLoads, this);
+    private final CollectedLoads collectedLoads = new CollectedLoads(loadSums, this);
     private long nextSequence;
 
     /**
@@ -74,7 +68,7 @@
             current = new WorkerState(entry, nextSequence++);
             removeIncarnation(byId.put(entry.id(), current));
             byIncarnation.put(current.incarnation(), current);
-            sumsOutdated = true;
+            loadSums.invalidate();
         }
         current.coldStart().recordReport(entry.coldMillis(), nowNanos);
     }
@@ -190,7 +184,7 @@
     public List<WorkerLoad> candidates(
             String upstream, Set<String> excluded, Predicate<WorkerEntry> accepted, long nowNanos) {
         counters.recordSelection();
-        refreshPeerLoads(nowNanos);
+        loadSums.refresh(nowNanos);
         List<WorkerState> serving = eligible(upstream);
         int suspects = 0;
         for (WorkerState worker : serving) {
@@ -320,20 +314,7 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordPeerLoads(String peer, PeerLoads.Scope scope, Map<Integer, PeerLoads.Load> loads, long nowNanos) {
-        peerLoads.recordReport(peer, scope, loads, nowNanos);
-        sumsOutdated = true;
-    }
-
-    /** Sums the reports of peers. Done per request, since reports arrive more often than requests. */
-    private void refreshPeerLoads(long nowNanos) {
-        if (!sumsOutdated && nowNanos - refreshedNanos < REFRESH_INTERVAL_NANOS) {
-            return;
-        }
-        sumsOutdated = false;
-        refreshedNanos = nowNanos;
-        Map<Integer, PeerLoads.Load> sums = peerLoads.total(nowNanos);
-        byId.values()
-                .forEach(worker -> worker.updatePeerLoad(sums.getOrDefault(worker.incarnation(), PeerLoads.Load.NONE)));
+        loadSums.recordReport(peer, scope, loads, nowNanos);
     }
 
     /**
@@ -344,13 +325,7 @@
      *     outcomes
      */
     public Map<Integer, PeerLoads.Load> localLoads(long nowNanos) {
-        Map<Integer, PeerLoads.Load> loads = new HashMap<>();
-        for (WorkerState worker : byId.values()) {
-            if (worker.hasLocalLoad(nowNanos)) {
-                loads.put(worker.incarnation(), worker.localLoad(nowNanos));
-            }
-        }
-        return loads;
+        return loadSums.local(nowNanos);
     }
 
     /**
@@ -369,13 +344,7 @@
      * @return loads by incarnation of the worker
      */
     public Map<Integer, PeerLoads.Load> aggregatedLoads(long nowNanos) {
-        return plusLocalLoads(peerLoads.totalOfReporters(nowNanos), nowNanos);
-    }
-
-    /** Adds the loads caused by this process to sums, which are changed. */
-    Map<Integer, PeerLoads.Load> plusLocalLoads(Map<Integer, PeerLoads.Load> sums, long nowNanos) {
-        localLoads(nowNanos).forEach((worker, load) -> sums.merge(worker, load, PeerLoads.Load::plus));
-        return sums;
+        return loadSums.plusLocal(loadSums.peerLoads().totalOfReporters(nowNanos), nowNanos);
     }
 
     /**
