--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -268,6 +268,7 @@
                 prefillMillis + peerLoad.prefillMillis(),
                 usesSharedSuspicion && sharedSuspicion.isSuspected() || localSuspicion.isSuspected(nowNanos),
                 permission,
-                performance);
+                performance,
+                entry.version());
     }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/EngineSelector.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.policy.selection;
 
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -181,11 +182,13 @@
         // they would then disagree on the preferred engines of every part.
         int[] preferred = preferredRanks(prompt, ranked, range, anyHealthy);
         CachedPrefixes.Lookup cached = prefixes.lookup(prompt, nowNanos);
-        Source source = fetchSource(ranked, cached);
+        Map<String, Source> sources = new HashMap<>();
+        String sourceVersion = null;
+        Source source = Source.NONE;
         PromptCosts costs = new PromptCosts(prompt, cached.isLastSharedPartCachedAnywhere());
         WorkerLoad best = null;
         int bestCached = 0;
-        boolean bestFetches = false;
+        Source bestSource = Source.NONE;
         double minCost = Double.MAX_VALUE;
         for (int i = 0; i < ranked.size(); i++) {
             WorkerLoad worker = ranked.get(i);
@@ -193,6 +196,10 @@
                 continue;
             }
             int local = cached.cachedTokens(worker.incarnation());
+            if (!worker.version().equals(sourceVersion)) {
+                sourceVersion = worker.version();
+                source = sources.computeIfAbsent(sourceVersion, version -> fetchSource(ranked, version, cached));
+            }
             double slowness = worker.performance().slowness();
             boolean fetches = isFetchFaster(prompt, local, source.tokens(), slowness);
             int tokens = fetches ? source.tokens() : local;
@@ -204,13 +211,15 @@
                 minCost = cost;
                 best = worker;
                 bestCached = tokens;
-                bestFetches = fetches;
+                bestSource = fetches ? source : Source.NONE;
             }
         }
         return best == null
                 ? new SelectionResult.NoCapacity()
                 : new SelectionResult.Selected(
-                        best.id(), bestCached, bestFetches ? Optional.of(source.worker()) : Optional.empty());
+                        best.id(),
+                        bestCached,
+                        bestSource == Source.NONE ? Optional.empty() : Optional.of(bestSource.worker()));
     }
 
     private static boolean isAnyHealthy(List<WorkerLoad> workers) {
@@ -232,14 +241,15 @@
         private static final Source NONE = new Source("", 0);
     }
 
-    private Source fetchSource(List<WorkerLoad> workers, CachedPrefixes.Lookup cached) {
+    private Source fetchSource(List<WorkerLoad> workers, String version, CachedPrefixes.Lookup cached) {
         if (cached.isEmpty() || transferCost.millisPerToken() == Double.POSITIVE_INFINITY) {
             return Source.NONE;
         }
         WorkerLoad longest = null;
         int maxTokens = 0;
         for (WorkerLoad worker : workers) {
-            int tokens = worker.canBeFetchedFrom() ? cached.fetchableTokens(worker.incarnation()) : 0;
+            boolean isSource = worker.canBeFetchedFrom() && worker.version().equals(version);
+            int tokens = isSource ? cached.fetchableTokens(worker.incarnation()) : 0;
             if (tokens > maxTokens) {
                 maxTokens = tokens;
                 longest = worker;
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/WorkerLoad.java
@@ -19,6 +19,7 @@
  * @param sendPermission whether this process may send the worker requests; one that is denied receives nothing but keeps
  *     its rank, since other processes may be allowed to use it
  * @param performance estimated speed of the worker
+ * @param version software version of the worker; cached parts of prompts are fetched only between workers of equal versions
  */
 public record WorkerLoad(
         String id,
@@ -31,7 +32,8 @@
         double prefillMillis,
         boolean suspected,
         SendPermission sendPermission,
-        WorkerPerformance performance) {
+        WorkerPerformance performance,
+        String version) {
     /**
      * Whether this process may send the worker a request.
      *
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineFleetSimulation.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineFleetSimulation.java
@@ -356,7 +356,8 @@
                 prefill,
                 false,
                 SendPermission.UNLIMITED,
-                options.measured() ? performance(engine) : WorkerPerformance.NOMINAL);
+                options.measured() ? performance(engine) : WorkerPerformance.NOMINAL,
+                "");
     }
 
     private void place(Kind kind) {
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorEquivalenceTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorEquivalenceTest.java
@@ -87,7 +87,8 @@
                     random.nextInt(4) > 0
                             ? SendPermission.UNLIMITED
                             : SendPermission.values()[random.nextInt(SendPermission.values().length)],
-                    WorkerPerformance.NOMINAL));
+                    WorkerPerformance.NOMINAL,
+                    ""));
         }
         if (random.nextBoolean()) {
             workers.sort(Comparator.comparingInt((WorkerLoad each) -> RankHash.hash(each.address()))
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/EngineSelectorTest.java
@@ -321,7 +321,8 @@
                 engine.prefillMillis(),
                 engine.suspected(),
                 engine.sendPermission(),
-                new WorkerPerformance(slowness, 0, 0));
+                new WorkerPerformance(slowness, 0, 0),
+                "");
     }
 
     private static List<WorkerLoad> denied(List<WorkerLoad> engines, String id) {
@@ -346,7 +347,8 @@
                 engine.prefillMillis(),
                 engine.suspected(),
                 permission,
-                WorkerPerformance.NOMINAL);
+                WorkerPerformance.NOMINAL,
+                "");
     }
 
     private EngineSelector selector(long seed, CachedPrefixes cached) {
@@ -381,6 +383,7 @@
                 prefill,
                 suspected,
                 SendPermission.UNLIMITED,
-                WorkerPerformance.NOMINAL);
+                WorkerPerformance.NOMINAL,
+                "");
     }
 }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/LeastLoadedSelectorTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/LeastLoadedSelectorTest.java
@@ -95,7 +95,8 @@
                 worker.prefillMillis(),
                 worker.suspected(),
                 worker.sendPermission(),
-                new WorkerPerformance(slowness, 0, 0));
+                new WorkerPerformance(slowness, 0, 0),
+                "");
     }
 
     private static WorkerLoad load(String id, String dataCentre, int slots, int inFlight, boolean suspected) {
@@ -110,7 +111,8 @@
                 0,
                 suspected,
                 SendPermission.UNLIMITED,
-                WorkerPerformance.NOMINAL);
+                WorkerPerformance.NOMINAL,
+                "");
     }
 
     private static WorkerLoad load(
@@ -126,6 +128,7 @@
                 0,
                 suspected,
                 permission,
-                WorkerPerformance.NOMINAL);
+                WorkerPerformance.NOMINAL,
+                "");
     }
 }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/UnevenServicesTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/selection/UnevenServicesTest.java
@@ -158,7 +158,8 @@
                         SendPermission.UNLIMITED,
                         measured
                                 ? estimates.getOrDefault(worker.index, WorkerPerformance.NOMINAL)
-                                : WorkerPerformance.NOMINAL))
+                                : WorkerPerformance.NOMINAL,
+                        ""))
                 .toList();
         selector.select("dc-" + (process < 5 ? 0 : process % 4), loads, 0).ifPresent(id -> {
             Worker worker = workers.get(Integer.parseInt(id));
