A stream that a client resumes goes on at the software version that began it, at any router

Clients that came back with Last-Event-Id and Resumes got events of any version, in the users' case v1.2 after v1. The request is a new one to the router, often another router than the one that began the stream, which may be killed.

Each router now records the version of a resumable stream when its request goes to a worker, before the first event. A resumption goes to the upstream of a split route that the first request's id selects.

Ruled out: choosing versions by a hash of the id, which is wrong as soon as two routers see different sets of versions; telling all processes of a large fleet, 30 KB a second each; cookies or ids in the answer, since clients send none back.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.dotterelcourse.daemon.audit.AuditEvent;
 import org.dotterelcourse.daemon.audit.AuditTrail;
@@ -18,6 +19,7 @@
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.RequestQuarantine;
 import org.dotterelcourse.policy.repeat.WindowedRetryBudget;
+import org.dotterelcourse.policy.resumption.StreamVersionLog;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.EngineModel;
 import org.dotterelcourse.policy.selection.EnginePartition;
@@ -32,6 +34,9 @@
     /** Name of this service in the kernel. */
     public static final ServiceName<GatewayState> NAME = new ServiceName<>("gateway-state", GatewayState.class);
 
+    /** Time for which a stream may be resumed, where the routes' time limits are shorter or not known yet. */
+    private static final long MIN_STREAM_LIFETIME_MILLIS = 10_000;
+
     private final Workers workers = new Workers();
     private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, EnginePartition> enginePartitions = new HashMap<>();
@@ -41,6 +46,7 @@
     private final CachedPrefixes cachedPrefixes = new CachedPrefixes();
     private final WorkerTimings timings = new WorkerTimings(workers);
     private final WorkerStatements statements = new WorkerStatements(workers);
+    private final StreamVersionLog streamVersions = new StreamVersionLog();
     private final RetryLimit retryLimit;
     private AuditTrail audit;
     private volatile RoutingTable table;
@@ -135,9 +141,10 @@
      * Removes a worker that is no longer published.
      *
      * @param id name of the worker
+     * @param nowNanos current monotonic time in nanoseconds
      */
-    public void removeWorker(String id) {
-        workers.remove(id)
+    public void removeWorker(String id, long nowNanos) {
+        workers.remove(id, nowNanos)
                 .ifPresent(entry -> audit.add(AuditEvent.Kind.UPSTREAM, id, "published", entry.describe(), "gone"));
     }
 
@@ -161,6 +168,25 @@
         workersLoaded = true;
     }
 
+    /**
+     * Returns how long after its beginning a stream may still be resumed.
+     *
+     * @return twice the longest time limit of the routes, for one attempt and the next one, in nanoseconds
+     */
+    public long streamLifetimeNanos() {
+        long timeoutMillis = table == null ? 0 : table.longestTimeoutMillis();
+        return TimeUnit.MILLISECONDS.toNanos(Math.max(MIN_STREAM_LIFETIME_MILLIS, 2 * timeoutMillis));
+    }
+
+    /**
+     * Returns the software versions of recent streams.
+     *
+     * @return the streams of this process and of peers
+     */
+    public StreamVersionLog streamVersions() {
+        return streamVersions;
+    }
+
     /**
      * Returns whether this process can serve requests. May be called on any thread.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Admission.java
@@ -59,6 +59,9 @@
         if (route.isEmpty()) {
             return rejected(new LocalReply(NOT_FOUND, "no route", 0));
         }
+        if (route.get().isStreaming() && dialect.resumedRequestIds(headers).size() > 1) {
+            return rejected(new LocalReply(BAD_REQUEST, "the request resumes several streams", 0));
+        }
         Optional<Customer> customer = table.customer(dialect.apiKey(headers));
         if (table.requiresKey() && !route.get().anonymous() && customer.isEmpty()) {
             return rejected(new LocalReply(UNAUTHORIZED, "unknown key", 0));
@@ -73,7 +76,10 @@
             HttpHeaders headers,
             String id,
             long arrivalNanos) {
-        UpstreamSpec upstream = table.upstream(route.upstreamFor(id));
+        Optional<String> resumes = resumes(route, headers);
+        // A stream goes on at the upstream that began it, where a route has several.
+        UpstreamSpec upstream = table.upstream(
+                route.upstreamFor(resumes.filter(first -> !first.isEmpty()).orElse(id)));
         Optional<Prompt> prompt = upstream.engine()
                 ? dialect.prompt(
                         headers,
@@ -90,7 +96,7 @@
                 prompt,
                 arrivalNanos,
                 arrivalNanos + timeoutMillis * NANOS_PER_MILLI,
-                resumes(route, headers));
+                resumes);
     }
 
     /** Returns which stream a request resumes; only requests for streams resume any. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -51,6 +51,7 @@
     private StreamForwarder streams;
     private Reachability reachability;
     private RelayAttempts relays;
+    private ClientResumption clientResumption;
 
     /**
      * Creates a forwarder.
@@ -84,6 +85,7 @@
         MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
         relays = new RelayAttempts(loop, reachability, metrics);
         streams = new StreamForwarder(loop, state, reachability, failureHandler, metrics);
+        clientResumption = new ClientResumption(loop, state, metrics);
         statementHandler = new WorkerStatementHandler(dialect, validator, state);
         RandomGenerator random = RandomGenerator.getDefault();
         selection = new WorkerSelection(dataCentre, state, random);
@@ -104,6 +106,15 @@
         relays.setPeers(peers);
     }
 
+    /**
+     * Sets the peers that remember the software versions of streams.
+     *
+     * @param peers the peers
+     */
+    public void resumeThrough(StreamVersionPeers peers) {
+        clientResumption.setPeers(peers);
+    }
+
     @Override
     public void stop() {
         // The connections are closed with the event loop.
@@ -119,7 +130,10 @@
         return Mono.defer(() -> {
             state.retryBudget(call.attributes().upstream().name()).recordRequest(loop.nowNanos());
             selection.recordArrival(call, loop.nowNanos());
-            return attempt(call, Optional.empty());
+            return clientResumption
+                    .bind(call)
+                    .flatMap(rejection ->
+                            rejection.isPresent() ? Mono.just(rejection.get()) : attempt(call, Optional.empty()));
         });
     }
 
@@ -180,6 +194,7 @@
             placement.end();
             return Mono.just(finalReplies.quarantined(call, earlierResponse, quarantined, loop.nowNanos()));
         }
+        clientResumption.recordSend(call);
         long nowNanos = loop.nowNanos();
         return send(call, placed)
                 .timeout(
@@ -229,6 +244,7 @@
         Placement placement = relays.placement(call, state, loop.nowNanos());
         if (result instanceof RelayResult.Responded responded) {
             if (relays.acceptsVersion(call, placement)) {
+                clientResumption.recordSend(call);
                 return handleResponse(call, placement, responded.response());
             }
             responded.response().close().run();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/routing/RoutingTable.java
@@ -21,6 +21,7 @@
     private final UrgencyLevels urgencyLevels;
     private final boolean requiresKey;
     private final RequestLimits limits;
+    private final long longestTimeoutMillis;
 
     private RoutingTable(Builder builder) {
         number = builder.number;
@@ -30,6 +31,7 @@
         urgencyLevels = builder.urgencyLevels;
         requiresKey = builder.requiresKey;
         limits = builder.limits;
+        longestTimeoutMillis = builder.longestTimeoutMillis;
     }
 
     /**
@@ -60,6 +62,15 @@
         return limits;
     }
 
+    /**
+     * Returns the longest time limit of all routes.
+     *
+     * @return the time in milliseconds; 0 if there are no routes
+     */
+    public long longestTimeoutMillis() {
+        return longestTimeoutMillis;
+    }
+
     /**
      * Finds the route for a request: among the routes for its host, the one with the longest matching path prefix.
      *
@@ -144,6 +155,7 @@
         private final UrgencyLevels urgencyLevels = new UrgencyLevels();
         private boolean requiresKey;
         private RequestLimits limits = DEFAULT_LIMITS;
+        private long longestTimeoutMillis;
         private boolean built;
 
         private Builder(long number) {
@@ -159,6 +171,7 @@
         public Builder route(Route route) {
             checkNotBuilt();
             routes.add(route);
+            longestTimeoutMillis = Math.max(longestTimeoutMillis, route.timeoutMillis());
             urgencyLevels.addRoute(route);
             return this;
         }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -15,6 +15,7 @@
 import org.dotterelcourse.policy.cold.ColdStart;
 import org.dotterelcourse.policy.rate.WorkerBackoffs;
 import org.dotterelcourse.policy.rate.WorkerLimits;
+import org.dotterelcourse.policy.resumption.VersionHistory;
 import org.dotterelcourse.policy.selection.WorkerLoad;
 import org.dotterelcourse.policy.selection.WorkerRanking;
 
@@ -39,6 +40,7 @@
     private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible, counters);
     private int indexedLeavingWorkers;
     private final CollectedLoads collectedLoads = new CollectedLoads(loadSums, this);
+    private final VersionHistory versionHistory = new VersionHistory();
     private long nextSequence;
 
     /**
@@ -62,14 +64,20 @@
             if (!WorkerIndex.isEquivalent(existing.entry(), updated)) {
                 index.invalidate();
             }
+            versionHistory.remove(existing.entry().upstream(), existing.entry().version(), nowNanos);
             existing.updateEntry(updated);
         } else {
             index.invalidate();
             current = new WorkerState(entry, nextSequence++);
+            if (existing != null) {
+                versionHistory.remove(
+                        existing.entry().upstream(), existing.entry().version(), nowNanos);
+            }
             removeIncarnation(byId.put(entry.id(), current));
             byIncarnation.put(current.incarnation(), current);
             loadSums.invalidate();
         }
+        versionHistory.add(entry.upstream(), entry.version());
         current.coldStart().recordReport(entry.coldMillis(), nowNanos);
     }
 
@@ -126,12 +134,16 @@
      * Removes a worker that is no longer published. Its requests in flight continue.
      *
      * @param id name of the worker
+     * @param nowNanos current monotonic time in nanoseconds
      * @return its last entry; empty if it was not published
      */
-    public Optional<WorkerEntry> remove(String id) {
+    public Optional<WorkerEntry> remove(String id, long nowNanos) {
         index.invalidate();
         WorkerState removed = byId.remove(id);
         removeIncarnation(removed);
+        if (removed != null) {
+            versionHistory.remove(removed.entry().upstream(), removed.entry().version(), nowNanos);
+        }
         return Optional.ofNullable(removed).map(WorkerState::entry);
     }
 
@@ -252,6 +264,15 @@
         return permissions.backoffs();
     }
 
+    /**
+     * Returns the software versions of which workers were published.
+     *
+     * @return the versions of all upstreams
+     */
+    public VersionHistory versionHistory() {
+        return versionHistory;
+    }
+
     /**
      * Returns the workers that have stated in a response that they are leaving.
      *
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerIndexTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerIndexTest.java
@@ -34,7 +34,7 @@
             switch (random.nextInt(6)) {
                 case 0 -> {
                     String id = "w-" + random.nextInt(IDS);
-                    workers.remove(id);
+                    workers.remove(id, 0);
                     published.remove(id);
                 }
                 case 1 -> {
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerStatementsTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkerStatementsTest.java
@@ -41,7 +41,7 @@
     @Test
     void aBackoffOutlastsTheRemovalOfTheEntry() {
         requestBackoff("a", 3_000);
-        workers.remove("a");
+        workers.remove("a", 0);
         workers.addOrUpdate(entry("a", 1_000, false), SECOND);
         assertThat(permission("a", SECOND)).isEqualTo(SendPermission.BACKING_OFF);
     }
@@ -70,7 +70,7 @@
         assertThat(candidates(0)).containsExactly("b");
         workers.addOrUpdate(entry("a", 1_000, false), SECOND);
         assertThat(candidates(SECOND)).containsExactly("b");
-        workers.remove("a");
+        workers.remove("a", 0);
         workers.addOrUpdate(entry("a", 1_000, false), 2 * SECOND);
         assertThat(candidates(2 * SECOND)).containsExactly("b");
         workers.addOrUpdate(entry("a", 2_000, false), 3 * SECOND);
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/WorkersTest.java
@@ -24,7 +24,7 @@
         assertThat(candidateIds()).containsExactly("new");
         publish(entry("old", 1, true));
         assertThat(candidateIds()).containsExactly("new");
-        workers.remove("old");
+        workers.remove("old", 0);
         assertThat(candidateIds()).containsExactly("new");
     }
 
--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
@@ -0,0 +1,95 @@
+package org.dotterelcourse.policy.resumption;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The software versions of which workers were published, by upstream, and for how long this process has known all of them.
+ * While an upstream has had a single version for longer than any stream lasts, all its streams belong to that version, and
+ * nothing need be exchanged about them.
+ */
+public final class VersionHistory {
+    private final Map<String, Map<String, Serving>> byUpstream = new HashMap<>();
+    private boolean isObserving;
+    private long observedSinceNanos;
+
+    /** The workers of one version: their current number, and when the last one was published if there is none. */
+    private static final class Serving {
+        private int workers;
+        private long endedNanos;
+    }
+
+    /**
+     * Records that the published workers are known from now on. Until then, and after a pause, versions may have served
+     * unnoticed.
+     *
+     * @param nowNanos current monotonic time in nanoseconds
+     */
+    public void beginObservation(long nowNanos) {
+        isObserving = true;
+        observedSinceNanos = nowNanos;
+    }
+
+    /**
+     * Records that a worker is published.
+     *
+     * @param upstream name of the worker's upstream
+     * @param version its software version, empty if it is unknown
+     */
+    public void add(String upstream, String version) {
+        byUpstream
+                .computeIfAbsent(upstream, name -> new HashMap<>())
+                .computeIfAbsent(version, name -> new Serving())
+                .workers++;
+    }
+
+    /**
+     * Records that a worker is no longer published. It may still serve for a while.
+     *
+     * @param upstream name of the worker's upstream
+     * @param version its software version, as it was added
+     * @param nowNanos current monotonic time in nanoseconds
+     */
+    public void remove(String upstream, String version, long nowNanos) {
+        Serving serving = byUpstream.getOrDefault(upstream, Map.of()).get(version);
+        if (serving != null && serving.workers > 0) {
+            serving.workers--;
+            serving.endedNanos = nowNanos;
+        }
+    }
+
+    /**
+     * Returns the version of all streams of an upstream.
+     *
+     * @param upstream name of the upstream
+     * @param streamNanos longest time in nanoseconds from the beginning of a stream to its last resumption
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return the only version that has served for so long; empty if there were several, if it is unknown, or if this
+     *     process has not observed the upstream for so long
+     */
+    public Optional<String> onlyVersion(String upstream, long streamNanos, long nowNanos) {
+        Map<String, Serving> versions = byUpstream.get(upstream);
+        if (versions == null || !isObserving || nowNanos - observedSinceNanos < streamNanos) {
+            return Optional.empty();
+        }
+        versions.values().removeIf(each -> each.workers == 0 && nowNanos - each.endedNanos > streamNanos);
+        return versions.size() == 1
+                ? versions.keySet().stream()
+                        .filter(version -> !version.isEmpty())
+                        .findFirst()
+                : Optional.empty();
+    }
+
+    /**
+     * Returns whether a stream of an upstream may belong to any of several versions, as far as this process knows.
+     *
+     * @param upstream name of the upstream
+     * @param streamNanos longest time in nanoseconds from the beginning of a stream to its last resumption
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return true unless there is an only version
+     */
+    public boolean isAmbiguous(String upstream, long streamNanos, long nowNanos) {
+        return onlyVersion(upstream, streamNanos, nowNanos).isEmpty();
+    }
+}
