Log lines of broken attempts name the parts of the prompt

Requests that differ crashed one worker after the other, and customer and prompt length were all that the lines told of what they have in common. 'parts' has a fingerprint of each part that other requests may have too. No decision uses it.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
@@ -1,10 +1,13 @@
 package org.dotterelcourse.gateway.forward;
 
+import java.util.stream.Collectors;
+
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.CrashNotice.Ending;
+import org.dotterelcourse.policy.quarantine.Fingerprint;
 import org.dotterelcourse.policy.quarantine.RequestQuarantine;
 import org.dotterelcourse.policy.quarantine.Verdict;
 import org.jboss.logging.Logger;
@@ -96,6 +99,7 @@
         Call call = attempt.call();
         MDC.put("request", call.attributes().id());
         MDC.put("fingerprint", call.fingerprint().toString());
+        MDC.put("parts", call.sharedParts().stream().map(Fingerprint::toString).collect(Collectors.joining(",")));
         MDC.put("customer", call.attributes().customer());
         MDC.put("route", call.attributes().route().name());
         MDC.put("worker", attempt.worker().id());
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -30,6 +30,7 @@
     private final EventProgress events;
     private final VersionBinding versions = new VersionBinding();
     private Fingerprint fingerprint;
+    private List<Fingerprint> sharedParts;
     private boolean isSuspect;
     private long sentNanos;
     private long firstSendMillis;
@@ -304,6 +305,22 @@
         return fingerprint;
     }
 
+    /**
+     * Returns the fingerprints of the parts of the prompt that other requests may have too.
+     *
+     * @return the fingerprints, computed at the first call; empty without a prompt
+     */
+    List<Fingerprint> sharedParts() {
+        if (sharedParts == null) {
+            String upstream = attributes.upstream().name();
+            sharedParts = attributes.prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
+                    .map(part -> Fingerprint.ofPromptPart(upstream, part.id()))
+                    .distinct()
+                    .toList();
+        }
+        return sharedParts;
+    }
+
     /**
      * Sets whether a worker crashed while it ran this request or one with the same fingerprint. If so, the request
      * should not run on the same worker as another suspect.
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/Fingerprint.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/Fingerprint.java
@@ -31,6 +31,21 @@
         return new Fingerprint(ByteBuffer.wrap(digest.digest()).getLong());
     }
 
+    /**
+     * Computes the fingerprint of a part that prompts may have in common.
+     *
+     * @param upstream the name of the upstream that reads the prompt
+     * @param part the id of the part
+     * @return the fingerprint, equal for equal parts of whatever requests to the upstream
+     */
+    public static Fingerprint ofPromptPart(String upstream, String part) {
+        MessageDigest digest = sha256();
+        update(digest, "part of a prompt".getBytes(StandardCharsets.UTF_8));
+        update(digest, upstream.getBytes(StandardCharsets.UTF_8));
+        update(digest, part.getBytes(StandardCharsets.UTF_8));
+        return new Fingerprint(ByteBuffer.wrap(digest.digest()).getLong());
+    }
+
     /** Prefixes the part with its length, so that moving bytes from one part to the next changes the digest. */
     private static void update(MessageDigest digest, byte[] part) {
         digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, part.length));
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/Prompt.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/selection/Prompt.java
@@ -49,6 +49,15 @@
         return new Prompt(parts, promptTokens, outputTokens, other);
     }
 
+    /**
+     * The parts that other prompts may share.
+     *
+     * @return all parts but the last one, which belongs to the request or its session
+     */
+    public List<Part> sharedParts() {
+        return parts.size() < 2 ? List.of() : parts.subList(0, parts.size() - 1);
+    }
+
     /**
      * The last of the parts that other prompts may share.
      *
