A part of prompts that crashes workers is held back, sound requests beside it are not

The quarantine knew requests by their content alone, so each was a first one.

The same mechanism, records and notices now hold parts too: an attempt that breaks with at most two events at a crashed worker is evidence against each shared part of its prompt, the last one never, at the software version of that worker. A run that ends well clears its parts at that version. Three consecutive crashes, summed over all routers, hold a part back; after two, one request at a time tries it in the whole fleet, sent by one process. A part whose crashes all belong to another part too, which a request lacks, is free for that request: so the first part of a kind of request and the customer's are not held with the cause. Another software version gets one request; it crashes, and the part is held there too, or it ends well, and the part is served there. A refusal is 503 with the time that remains.

Ruled out: holding the customer or the route, which sound requests share; counting streams with many events, which ran beside the cause; a second quarantine of its own.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -315,7 +315,7 @@
      */
     public void applyCrashNotice(CrashNotice notice, long nowNanos) {
         if (quarantine.applyNotice(notice, nowNanos)) {
-            audit.add(AuditEvent.Kind.QUARANTINE, notice.request().toString(), "workers crashed under it", "", "held");
+            audit.add(AuditEvent.Kind.QUARANTINE, notice.cause().toString(), "workers crashed under it", "", "held");
         }
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/CrashNoticeCodec.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/CrashNoticeCodec.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
+import org.dotterelcourse.policy.quarantine.CrashCause;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.CrashNotice.Ending;
 import org.dotterelcourse.policy.quarantine.Fingerprint;
@@ -14,11 +15,13 @@
 
     static FleetProtos.CrashNotices encode(List<CrashNotice> notices) {
         FleetProtos.CrashNotices.Builder columns = FleetProtos.CrashNotices.newBuilder();
-        notices.forEach(notice -> columns.addRequest(notice.request().value())
-                .addEnding(encode(notice.ending()))
-                .addWorker(notice.worker())
-                .addRunMillis((int) notice.runMillis())
-                .addAgoMillis((int) notice.agoMillis()));
+        notices.forEach(
+                notice -> columns.addRequest(notice.cause().fingerprint().value())
+                        .addVersion(notice.cause().version())
+                        .addEnding(encode(notice.ending()))
+                        .addWorker(notice.worker())
+                        .addRunMillis((int) notice.runMillis())
+                        .addAgoMillis((int) notice.agoMillis()));
         return columns.build();
     }
 
@@ -40,7 +43,8 @@
         if (columns.getEndingCount() != count
                 || columns.getWorkerCount() != count
                 || columns.getRunMillisCount() != count
-                || columns.getAgoMillisCount() != count) {
+                || columns.getAgoMillisCount() != count
+                || columns.getVersionCount() != 0 && columns.getVersionCount() != count) {
             throw new IllegalArgumentException(
                     "columns differ in length, expected " + count + " values (one per request)");
         }
@@ -48,7 +52,9 @@
         for (int i = 0; i < count; i++) {
             if (columns.getEnding(i) != FleetProtos.CrashNotices.Ending.UNRECOGNIZED) {
                 notices.add(new CrashNotice(
-                        new Fingerprint(columns.getRequest(i)),
+                        new CrashCause(
+                                new Fingerprint(columns.getRequest(i)),
+                                columns.getVersionCount() == 0 ? 0 : columns.getVersion(i)),
                         decode(columns.getEnding(i)),
                         columns.getWorker(i),
                         Integer.toUnsignedLong(columns.getRunMillis(i)),
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
@@ -2,9 +2,11 @@
 
 import java.util.stream.Collectors;
 
+import com.codahale.metrics.MetricRegistry;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.workers.WorkerEntry;
+import org.dotterelcourse.policy.quarantine.CrashCause;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.CrashNotice.Ending;
 import org.dotterelcourse.policy.quarantine.Fingerprint;
@@ -26,12 +28,14 @@
     private final GatewayState state;
     private final RequestQuarantine quarantine;
     private final Reachability reachability;
+    private final PartQuarantine parts;
 
-    AttemptFailureHandler(GatewayLoop loop, GatewayState state, Reachability reachability) {
+    AttemptFailureHandler(GatewayLoop loop, GatewayState state, Reachability reachability, MetricRegistry metrics) {
         this.loop = loop;
         this.state = state;
         this.quarantine = state.quarantine();
         this.reachability = reachability;
+        this.parts = new PartQuarantine(state, metrics);
     }
 
     /**
@@ -68,15 +72,29 @@
                 : Mono.just(result);
     }
 
-    /** Returns whether the request may be sent to a worker. */
+    /** Returns whether the request may be sent to a worker, by its content and by the parts of its prompt. */
     Verdict verdict(Call call) {
-        return quarantine.isEmpty() ? new Verdict.Allowed() : quarantine.verdict(call.fingerprint(), loop.nowNanos());
+        long nowNanos = loop.nowNanos();
+        Verdict byParts = parts.verdict(call, nowNanos);
+        if (byParts instanceof Verdict.Quarantined || quarantine.isEmpty()) {
+            return byParts;
+        }
+        return quarantine.verdict(CrashCause.ofContent(call.fingerprint()), nowNanos);
     }
 
-    /** Records that a worker has finished the request without crashing. */
-    void recordFinished(Call call) {
+    /**
+     * Records that a worker has finished the request without crashing.
+     *
+     * @param isSuccess whether the worker has done the work of the request
+     */
+    void recordFinished(Call call, boolean isSuccess) {
         if (!quarantine.isEmpty()) {
-            state.applyCrashNotice(new CrashNotice(call.fingerprint(), Ending.FINISHED, 0, 0, 0), loop.nowNanos());
+            long nowNanos = loop.nowNanos();
+            state.applyCrashNotice(
+                    new CrashNotice(CrashCause.ofContent(call.fingerprint()), Ending.FINISHED, 0, 0, 0), nowNanos);
+            if (isSuccess) {
+                parts.recordFinished(call, nowNanos);
+            }
         }
     }
 
@@ -86,12 +104,14 @@
         if (result == WorkerProbe.Result.CRASHED && !state.workers().isLeaving(attempt.worker())) {
             Ending ending = attempt.eventCount() == 0 ? Ending.CRASHED_BEFORE_OUTPUT : Ending.CRASHED_DURING_OUTPUT;
             CrashNotice notice = new CrashNotice(
-                    attempt.call().fingerprint(),
+                    CrashCause.ofContent(attempt.call().fingerprint()),
                     ending,
                     attempt.worker().incarnation(),
                     Math.round(attempt.elapsedMillis()),
                     0);
             state.applyCrashNotice(notice, loop.nowNanos());
+            parts.recordCrash(
+                    attempt.call(), attempt.worker(), attempt.elapsedMillis(), attempt.eventCount(), loop.nowNanos());
         }
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
@@ -53,7 +53,7 @@
     /** Rejects a quarantined request, unless a worker has responded to it before or may have executed it. */
     Reply quarantined(
             Call call, Optional<BufferedResponse> earlierResponse, Verdict.Quarantined quarantined, long nowNanos) {
-        String reason = "workers crash under this request";
+        String reason = "workers crash under this request or a part of its prompt";
         boolean isNotExecuted = earlierResponse.isEmpty() && !call.isPossiblyExecuted();
         return isNotExecuted
                 ? new Reply.Local(LocalReply.notExecuted(reason, quarantined.retryAfterMillis()))
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -81,8 +81,8 @@
         state = kernel.find(GatewayState.NAME);
         reachability = kernel.find(Reachability.NAME);
         client = new WorkerClient(loop, reachability.addressMapping());
-        failureHandler = new AttemptFailureHandler(loop, state, reachability);
         MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
+        failureHandler = new AttemptFailureHandler(loop, state, reachability, metrics);
         relays = new RelayAttempts(loop, reachability, metrics);
         streams = new StreamForwarder(loop, state, reachability, failureHandler, metrics);
         clientResumption = new ClientResumption(loop, state, metrics);
@@ -194,6 +194,11 @@
             placement.end();
             return Mono.just(finalReplies.quarantined(call, earlierResponse, quarantined, loop.nowNanos()));
         }
+        if (!call.versions().accepts(placement.entry())) {
+            placement.end();
+            return Mono.just(finalReplies.reply(
+                    call, earlierResponse, "workers crash under a part of this prompt", loop.nowNanos()));
+        }
         clientResumption.recordSend(call);
         long nowNanos = loop.nowNanos();
         return send(call, placed)
@@ -342,7 +347,7 @@
             if (response.status() < BAD_REQUEST) {
                 placement.recordPlainResponse(nowNanos);
             }
-            failureHandler.recordFinished(call);
+            failureHandler.recordFinished(call, response.status() < BAD_REQUEST);
             return Mono.just(response.toReply());
         }
         placement.recordErrorResponse(nowNanos);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
@@ -106,7 +106,7 @@
     private void recordCompletion(Call call, Placement placement) {
         placement.recordSuccess(loop.nowNanos());
         placement.recordStreamEnd(call.attributes().upstream().tokensPerEvent(), loop.nowNanos());
-        failureHandler.recordFinished(call);
+        failureHandler.recordFinished(call, true);
         if (EngineQueues.isDelayTolerant(call)) {
             int tokens = call.events().count() * call.attributes().upstream().tokensPerEvent();
             state.engineModel(call.attributes().upstream().name()).recordCompletion(tokens);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/VersionBinding.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/VersionBinding.java
@@ -1,5 +1,7 @@
 package org.dotterelcourse.gateway.forward;
 
+import java.util.Set;
+
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 
 /**
@@ -12,6 +14,7 @@
     private String version = "";
     private String attemptVersion = "";
     private int attempts;
+    private Set<String> excluded = Set.of();
 
     /** Records the software version of the worker that has the request from now on; empty if it is unknown. */
     void beginAttempt(String workerVersion) {
@@ -56,9 +59,14 @@
         return attempts;
     }
 
+    /** Sets the versions whose workers must not get the request, in place of earlier ones. */
+    void exclude(Set<String> versions) {
+        excluded = versions;
+    }
+
     /** Returns whether a worker of this version may get the request. */
     boolean accepts(String workerVersion) {
-        return !isBound || !version.isEmpty() && version.equals(workerVersion);
+        return !excluded.contains(workerVersion) && (!isBound || !version.isEmpty() && version.equals(workerVersion));
     }
 
     /** Returns whether a worker may get the request. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/SendPermissions.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/SendPermissions.java
@@ -29,6 +29,11 @@
         rateShareHolders.updateFleet(self, others, nowNanos);
     }
 
+    /** Returns whether this process is the one of the fleet that a key is assigned to. */
+    boolean isFirstHolder(String key, long nowNanos) {
+        return rateShareHolders.includesSelf(key, 1, nowNanos);
+    }
+
     /** Removes what a worker that is no longer published has stated. */
     void remove(int incarnation) {
         limits.remove(incarnation);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -130,6 +130,17 @@
         permissions.updateFleet(self, others, nowNanos);
     }
 
+    /**
+     * Returns whether this process is the one of the fleet that a key is assigned to.
+     *
+     * @param key any text
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return false also while this process still discovers the members of the fleet
+     */
+    public boolean isFirstHolder(String key, long nowNanos) {
+        return permissions.isFirstHolder(key, nowNanos);
+    }
+
     /**
      * Removes a worker that is no longer published. Its requests in flight continue.
      *
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/CrashNoticeCodecTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/fleet/CrashNoticeCodecTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
+import org.dotterelcourse.policy.quarantine.CrashCause;
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.CrashNotice.Ending;
 import org.dotterelcourse.policy.quarantine.Fingerprint;
@@ -13,9 +14,9 @@
 
 class CrashNoticeCodecTest {
     private static final List<CrashNotice> NOTICES = List.of(
-            new CrashNotice(new Fingerprint(-5), Ending.CRASHED_BEFORE_OUTPUT, -7, 150, 20),
-            new CrashNotice(new Fingerprint(6), Ending.CRASHED_DURING_OUTPUT, 8, 0, 600_000),
-            new CrashNotice(new Fingerprint(6), Ending.FINISHED, 0, 0, 1));
+            new CrashNotice(CrashCause.ofContent(new Fingerprint(-5)), Ending.CRASHED_BEFORE_OUTPUT, -7, 150, 20),
+            new CrashNotice(CrashCause.ofPart(new Fingerprint(6), "v1"), Ending.CRASHED_DURING_OUTPUT, 8, 0, 600_000),
+            new CrashNotice(CrashCause.ofContent(new Fingerprint(6)), Ending.FINISHED, 0, 0, 1));
 
     @Test
     void decodedNoticesEqualTheEncodedOnes() {
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/CrashRecord.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/CrashRecord.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /**
- * The crashes of workers that ran one request. Crashes before the end of a run that finished are removed, because the
- * request did not cause them.
+ * The crashes of workers that ran one request, or requests with one part of their prompts. Crashes before the end of a run
+ * that finished are removed, because the request or the part did not cause them.
  */
 final class CrashRecord {
     private static final int WEIGHT_BEFORE_OUTPUT = 2;
@@ -30,12 +30,12 @@
      * @param crashedNanos monotonic time in nanoseconds at which the worker crashed
      */
     record Crash(int worker, int weight, long sentNanos, long crashedNanos) {
-        CrashNotice toNotice(Fingerprint request, long nowNanos) {
+        CrashNotice toNotice(CrashCause cause, long nowNanos) {
             CrashNotice.Ending ending = weight == WEIGHT_BEFORE_OUTPUT
                     ? CrashNotice.Ending.CRASHED_BEFORE_OUTPUT
                     : CrashNotice.Ending.CRASHED_DURING_OUTPUT;
             return new CrashNotice(
-                    request,
+                    cause,
                     ending,
                     worker,
                     (crashedNanos - sentNanos) / RequestQuarantine.NANOS_PER_MILLI,
@@ -57,15 +57,16 @@
         return true;
     }
 
-    /** Removes the crashes up to the end of a run that finished; returns whether there were any. */
+    /** Removes the crashes up to the end of a run that finished; returns whether this is news to others. */
     boolean recordFinishedRun(long endNanos, long nowNanos) {
         if (hasFinishedRun && endNanos - finishedNanos <= 0) {
             return false;
         }
+        boolean isFirst = !hasFinishedRun;
         hasFinishedRun = true;
         finishedNanos = endNanos;
         updatedNanos = nowNanos;
-        return crashes.values().removeIf(crash -> crash.crashedNanos() - endNanos <= 0);
+        return crashes.values().removeIf(crash -> crash.crashedNanos() - endNanos <= 0) || isFirst;
     }
 
     void removeCrashesBefore(long timeNanos) {
@@ -76,6 +77,15 @@
         return crashes.isEmpty() && updatedNanos - timeNanos < 0;
     }
 
+    /** Returns whether all crashes of another record are recorded here too. */
+    boolean includesCrashesOf(CrashRecord other) {
+        return crashes.keySet().containsAll(other.crashes.keySet());
+    }
+
+    boolean hasFinishedRun() {
+        return hasFinishedRun;
+    }
+
     boolean hasCrashes() {
         return !crashes.isEmpty();
     }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/RequestQuarantine.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/RequestQuarantine.java
@@ -13,7 +13,7 @@
 import org.dotterelcourse.policy.quarantine.CrashNotice.Ending;
 
 /**
- * Rejects requests that crash the workers which run them. The crashes that one process sees are replicated to the
+ * Rejects requests that crash the workers which run them, by their content or by a part of their prompts. The crashes that one process sees are replicated to the
  * others by gossip, and each process derives its verdicts from all known crashes.
  *
  * <p>Answers a request whose content crashes any worker that starts to run it, while its client keeps retrying. Each
@@ -21,6 +21,10 @@
  * of them, and each one costs a worker with everything that runs there. Retries are recognized by their {@link
  * Fingerprint}. Two consecutive crashes put a request into quarantine, and a run that finishes releases it. Notices
  * of peers may arrive late, repeatedly and in any order.
+ *
+ * <p>Also answers requests that all differ but for a part of their prompts. Parts of sound requests that are on the same
+ * workers get crashes too, but their other runs finish. Three consecutive crashes hold a part back from workers of the
+ * software version that crashed; at another version one request tries it.
  */
 public final class RequestQuarantine {
     static final long NANOS_PER_MILLI = 1_000_000L;
@@ -31,9 +35,20 @@
     /** Weight that puts a request into quarantine: two crashes before any output, four during output, or a mixture. */
     private static final int QUARANTINE_WEIGHT = 4;
 
-    /** Maximum number of records. Beyond it, the record with the lowest weight of crashes is evicted. */
+    /**
+     * Weight that holds a part of prompts back: three crashes at the beginning of an answer. One more than for contents,
+     * because other requests that were at the beginning of an answer on the same worker had parts too.
+     */
+    private static final int PART_QUARANTINE_WEIGHT = 6;
+
+    /** Weight from which on a part of prompts is tried by one request at a time: two crashes. */
+    private static final int PART_TRIAL_WEIGHT = 4;
+
+    /** Maximum number of records. Beyond it, the records with the lowest weights of crashes are evicted. */
     private static final int MAX_RECORDS = 1_024;
 
+    private static final int EVICTED_AT_ONCE = 128;
+
     /** Number of times that a new notice is sent, because messages get lost. */
     private static final int SEND_COUNT = 3;
 
@@ -48,9 +63,9 @@
 
     private static final long CLEANUP_INTERVAL_NANOS = 10_000 * NANOS_PER_MILLI;
 
-    private final Map<Fingerprint, CrashRecord> records = new HashMap<>();
+    private final Map<CrashCause, CrashRecord> records = new HashMap<>();
     private final Deque<UnsentNotice> unsent = new ArrayDeque<>();
-    private final Set<Fingerprint> reminders = new LinkedHashSet<>();
+    private final Set<CrashCause> reminders = new LinkedHashSet<>();
     private boolean areRemindersDue = true;
     private long remindedNanos;
     private long cleanedUpNanos;
@@ -61,7 +76,7 @@
         CrashNotice at(long nowNanos) {
             long ageMillis = (nowNanos - createdNanos) / NANOS_PER_MILLI;
             return new CrashNotice(
-                    notice.request(),
+                    notice.cause(),
                     notice.ending(),
                     notice.worker(),
                     notice.runMillis(),
@@ -85,27 +100,101 @@
     /**
      * Decides whether a request may be sent to a worker.
      *
-     * @param request the request's fingerprint
+     * @param cause the request's content, or a part of its prompt at workers of one software version
      * @param nowNanos the current monotonic time in nanoseconds
      * @return the decision
      */
-    public Verdict verdict(Fingerprint request, long nowNanos) {
-        CrashRecord record = records.get(request);
-        if (record == null) {
+    public Verdict verdict(CrashCause cause, long nowNanos) {
+        List<CrashRecord.Crash> crashes = crashes(cause, nowNanos);
+        return cause.isPart() ? partVerdict(cause, crashes, nowNanos) : contentVerdict(crashes, nowNanos);
+    }
+
+    private static Verdict contentVerdict(List<CrashRecord.Crash> crashes, long nowNanos) {
+        if (crashes.isEmpty()) {
             return new Verdict.Allowed();
         }
-        record.removeCrashesBefore(nowNanos - CRASH_RETENTION_NANOS);
-        if (!record.hasCrashes()) {
-            return new Verdict.Allowed();
+        return weight(crashes) < QUARANTINE_WEIGHT ? new Verdict.Suspect() : quarantined(crashes, nowNanos);
+    }
+
+    /**
+     * Decides whether a request may be sent to the workers of one software version, by the shared parts of its prompt.
+     *
+     * <p>A part gets the crashes of every part that requests have beside it. If a part that the request lacks has all crashes
+     * of one that it has, then that one explains them: the request is sent, or is a trial where the part would be held back.
+     *
+     * @param parts the parts at that version
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return the strictest decision on the parts
+     */
+    public Verdict verdict(List<CrashCause> parts, long nowNanos) {
+        Verdict strictest = new Verdict.Allowed();
+        for (CrashCause part : parts) {
+            Verdict verdict = verdict(part, nowNanos);
+            if (!(verdict instanceof Verdict.Allowed) && isExplained(part, parts, nowNanos)) {
+                verdict = verdict instanceof Verdict.Quarantined ? new Verdict.Trial() : new Verdict.Allowed();
+            }
+            if (verdict instanceof Verdict.Quarantined) {
+                return verdict;
+            }
+            strictest = verdict instanceof Verdict.Trial ? verdict : strictest;
         }
-        List<CrashRecord.Crash> crashes = record.consecutiveCrashes();
-        if (weight(crashes) < QUARANTINE_WEIGHT) {
-            return new Verdict.Suspect();
+        return strictest;
+    }
+
+    private boolean isExplained(CrashCause part, List<CrashCause> request, long nowNanos) {
+        CrashRecord record = records.get(part);
+        if (record == null || crashes(part, nowNanos).isEmpty()) {
+            return false;
+        }
+        return records.entrySet().stream()
+                .anyMatch(other -> other.getKey().version() == part.version()
+                        && !request.contains(other.getKey())
+                        && other.getValue().includesCrashesOf(record));
+    }
+
+    /** At a further software version than the one whose workers have crashed, one crash is enough. */
+    private Verdict partVerdict(CrashCause cause, List<CrashRecord.Crash> crashes, long nowNanos) {
+        int weight = weight(crashes);
+        if (weight >= PART_QUARANTINE_WEIGHT) {
+            return quarantined(crashes, nowNanos);
         }
+        boolean isHeldElsewhere = isHeldAtAnotherVersion(cause, nowNanos);
+        if (isHeldElsewhere && weight > 0) {
+            return quarantined(crashes, nowNanos);
+        }
+        boolean isUntested = isHeldElsewhere && !hasFinishedRun(cause);
+        return isUntested || weight >= PART_TRIAL_WEIGHT ? new Verdict.Trial() : new Verdict.Allowed();
+    }
+
+    private static Verdict quarantined(List<CrashRecord.Crash> crashes, long nowNanos) {
         long endNanos = crashes.get(0).crashedNanos() + CRASH_RETENTION_NANOS;
         return new Verdict.Quarantined((endNanos - nowNanos) / NANOS_PER_MILLI);
     }
 
+    /** Returns the consecutive crashes that still count. */
+    private List<CrashRecord.Crash> crashes(CrashCause cause, long nowNanos) {
+        CrashRecord record = records.get(cause);
+        if (record == null) {
+            return List.of();
+        }
+        record.removeCrashesBefore(nowNanos - CRASH_RETENTION_NANOS);
+        return record.hasCrashes() ? record.consecutiveCrashes() : List.of();
+    }
+
+    private boolean hasFinishedRun(CrashCause cause) {
+        CrashRecord record = records.get(cause);
+        return record != null && record.hasFinishedRun();
+    }
+
+    private boolean isHeldAtAnotherVersion(CrashCause cause, long nowNanos) {
+        return cause.isPart()
+                && reminders.stream()
+                        .anyMatch(held -> held.fingerprint().equals(cause.fingerprint())
+                                && held.version() != cause.version()
+                                && held.isPart()
+                                && weight(crashes(held, nowNanos)) >= PART_QUARANTINE_WEIGHT);
+    }
+
     /**
      * Applies the end of a run, observed by this process or reported by a peer.
      *
@@ -115,12 +204,14 @@
      */
     public boolean applyNotice(CrashNotice notice, long nowNanos) {
         long endedNanos = nowNanos - notice.agoMillis() * NANOS_PER_MILLI;
-        CrashRecord existing = records.get(notice.request());
-        if (existing == null && notice.ending() == Ending.FINISHED) {
+        CrashRecord existing = records.get(notice.cause());
+        if (existing == null
+                && notice.ending() == Ending.FINISHED
+                && !isHeldAtAnotherVersion(notice.cause(), nowNanos)) {
             return false;
         }
-        boolean wasQuarantined = isQuarantined(notice.request(), nowNanos);
-        CrashRecord record = existing == null ? createRecord(notice.request(), nowNanos) : existing;
+        boolean wasQuarantined = isQuarantined(notice.cause(), nowNanos);
+        CrashRecord record = existing == null ? createRecord(notice.cause(), nowNanos) : existing;
         boolean changed = notice.ending() == Ending.FINISHED
                 ? record.recordFinishedRun(endedNanos, nowNanos)
                 : record.addCrash(toCrash(notice, endedNanos), nowNanos);
@@ -128,9 +219,9 @@
             return false;
         }
         enqueueNotice(notice, nowNanos);
-        boolean isQuarantined = isQuarantined(notice.request(), nowNanos);
+        boolean isQuarantined = isQuarantined(notice.cause(), nowNanos);
         if (isQuarantined && !wasQuarantined) {
-            reminders.add(notice.request());
+            reminders.add(notice.cause());
         }
         return isQuarantined && !wasQuarantined;
     }
@@ -143,32 +234,38 @@
                 crashedNanos);
     }
 
-    private boolean isQuarantined(Fingerprint request, long nowNanos) {
-        return verdict(request, nowNanos) instanceof Verdict.Quarantined;
+    private boolean isQuarantined(CrashCause cause, long nowNanos) {
+        return verdict(cause, nowNanos) instanceof Verdict.Quarantined;
     }
 
     private static int weight(List<CrashRecord.Crash> crashes) {
         return crashes.stream().mapToInt(CrashRecord.Crash::weight).sum();
     }
 
-    private CrashRecord createRecord(Fingerprint request, long nowNanos) {
+    private CrashRecord createRecord(CrashCause cause, long nowNanos) {
         if (records.size() >= MAX_RECORDS) {
-            evictRecord(nowNanos);
+            evictRecords(nowNanos);
         }
         CrashRecord record = new CrashRecord();
-        records.put(request, record);
+        records.put(cause, record);
         return record;
     }
 
-    /** Removes expired records or, if there are none, evicts the least recently updated one of the lowest weight. */
-    private void evictRecord(long nowNanos) {
+    /**
+     * Removes expired records or, if there are none, evicts the least recently updated ones of the lowest weight. Several at
+     * once, because they are searched in all records.
+     */
+    private void evictRecords(long nowNanos) {
         cleanUp(nowNanos);
         if (records.size() >= MAX_RECORDS) {
-            records.entrySet().stream()
-                    .min(Comparator.<Map.Entry<Fingerprint, CrashRecord>>comparingInt(
-                                    entry -> weight(entry.getValue().consecutiveCrashes()))
-                            .thenComparingLong(entry -> entry.getValue().updatedNanos() - nowNanos))
-                    .ifPresent(lowest -> records.remove(lowest.getKey()));
+            Map<CrashCause, Integer> weights = new HashMap<>();
+            records.forEach((cause, record) -> weights.put(cause, weight(record.consecutiveCrashes())));
+            List<CrashCause> evicted = records.keySet().stream()
+                    .sorted(Comparator.<CrashCause>comparingInt(weights::get)
+                            .thenComparingLong(cause -> records.get(cause).updatedNanos() - nowNanos))
+                    .limit(EVICTED_AT_ONCE)
+                    .toList();
+            records.keySet().removeAll(evicted);
         }
     }
 
@@ -243,14 +340,14 @@
 
     /** Adds the crashes of the next requests in quarantine, in round-robin order. */
     private void addReminders(List<CrashNotice> notices, long nowNanos) {
-        List<Fingerprint> requests = reminders.stream().limit(MAX_REMINDERS).toList();
-        for (Fingerprint request : requests) {
-            reminders.remove(request);
-            if (isQuarantined(request, nowNanos)) {
-                reminders.add(request);
-                records.get(request).consecutiveCrashes().stream()
+        List<CrashCause> causes = reminders.stream().limit(MAX_REMINDERS).toList();
+        for (CrashCause cause : causes) {
+            reminders.remove(cause);
+            if (isQuarantined(cause, nowNanos)) {
+                reminders.add(cause);
+                records.get(cause).consecutiveCrashes().stream()
                         .limit(QUARANTINE_WEIGHT)
-                        .forEach(crash -> notices.add(crash.toNotice(request, nowNanos)));
+                        .forEach(crash -> notices.add(crash.toNotice(cause, nowNanos)));
             }
         }
     }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/Verdict.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/Verdict.java
@@ -11,6 +11,12 @@
      */
     record Suspect() implements Verdict {}
 
+    /**
+     * Workers have crashed under a part of the prompt, but too few for certainty, or only workers of other software
+     * versions: one request at a time may run in the whole fleet.
+     */
+    record Trial() implements Verdict {}
+
     /**
      * The request has repeatedly crashed workers: it must not run.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The software versions of which workers were published, by upstream, and for how long this process has known all of them.
@@ -59,6 +61,19 @@
         }
     }
 
+    /**
+     * Returns the versions of which workers are published.
+     *
+     * @param upstream name of the upstream
+     * @return the versions, empty for workers of unknown version
+     */
+    public Set<String> servingVersions(String upstream) {
+        return byUpstream.getOrDefault(upstream, Map.of()).entrySet().stream()
+                .filter(version -> version.getValue().workers > 0)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Returns the version of all streams of an upstream.
      *
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantinePropertyTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantinePropertyTest.java
@@ -20,7 +20,7 @@
     private static final int SEND_COUNT = 40;
     private static final int MAX_CRASHES = 3;
     private static final int MAX_MISSED_REJECTIONS = 3;
-    private static final Fingerprint REQUEST = new Fingerprint(7);
+    private static final CrashCause REQUEST = CrashCause.ofContent(new Fingerprint(7));
 
     @Property(tries = 500, seed = "20261203")
     void theVerdictDoesNotDependOnTheOrderOrRepetitionOfNotices(
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantineTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/RequestQuarantineTest.java
@@ -11,8 +11,8 @@
     private static final long SECOND = 1_000_000_000L;
     private static final long START = 1_000 * SECOND;
     private static final long CRASH_RETENTION = 600 * SECOND;
-    private static final Fingerprint REQUEST = new Fingerprint(7);
-    private static final Fingerprint OTHER = new Fingerprint(8);
+    private static final CrashCause REQUEST = CrashCause.ofContent(new Fingerprint(7));
+    private static final CrashCause OTHER = CrashCause.ofContent(new Fingerprint(8));
 
     private final RequestQuarantine quarantine = new RequestQuarantine();
 
@@ -82,7 +82,7 @@
         crash(REQUEST, 1, START);
         crash(REQUEST, 2, START + SECOND);
         for (int i = 0; i < 5_000; i++) {
-            crash(new Fingerprint(1_000 + i), 3, START + 2 * SECOND);
+            crash(CrashCause.ofContent(new Fingerprint(1_000 + i)), 3, START + 2 * SECOND);
         }
         assertThat(quarantine.verdict(REQUEST, START + 2 * SECOND)).isInstanceOf(Verdict.Quarantined.class);
     }
@@ -108,11 +108,11 @@
     @Test
     void sendsCrashesBeforeOutputBeforeCrashesDuringOutput() {
         for (int i = 0; i < 1_000; i++) {
-            apply(notice(new Fingerprint(1_000 + i), Ending.CRASHED_DURING_OUTPUT, 1), START);
+            apply(notice(CrashCause.ofContent(new Fingerprint(1_000 + i)), Ending.CRASHED_DURING_OUTPUT, 1), START);
         }
         crash(REQUEST, 1, START);
         assertThat(quarantine.takeNotices(START))
-                .anyMatch(notice -> notice.request().equals(REQUEST));
+                .anyMatch(notice -> notice.cause().equals(REQUEST));
     }
 
     @Test
@@ -141,11 +141,11 @@
         assertThat(quarantine.takeNotices(START + 2 * SECOND)).hasSize(2);
     }
 
-    private void crash(Fingerprint request, int worker, long nowNanos) {
+    private void crash(CrashCause request, int worker, long nowNanos) {
         apply(notice(request, Ending.CRASHED_BEFORE_OUTPUT, worker), nowNanos);
     }
 
-    private static CrashNotice notice(Fingerprint request, Ending ending, int worker) {
+    private static CrashNotice notice(CrashCause request, Ending ending, int worker) {
         return new CrashNotice(request, ending, worker, 100, 0);
     }
 
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/SimulatedFleet.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/SimulatedFleet.java
@@ -13,7 +13,7 @@
  */
 final class SimulatedFleet {
     private static final long NANOS_PER_MILLI = 1_000_000L;
-    private static final Fingerprint REQUEST = new Fingerprint(7);
+    private static final CrashCause REQUEST = CrashCause.ofContent(new Fingerprint(7));
     private static final int GOSSIP_PERIOD_MILLIS = 50;
     private static final int RUN_MILLIS = 20;
     private static final int NO_PROCESS = -1;
