Streams that end with their connections: none without an event is complete, and HTTP/1.0 clients see a break

A worker's answer may have neither a length nor chunks. If the worker ended before its first event, its stream looked like a complete one without events: the client got an empty answer, it was not resumed, and the run counted as finished, which cleared the part of the prompt that had crashed the worker. Such a stream now breaks, as one that ends inside an event did before. A client of HTTP/1.0 got chunks, and the end of a broken stream was the same end of the connection as that of a whole one: it now gets the events as they are, and a reset if the stream breaks.

Not covered: a worker that ends between two events of such an answer looks complete; nothing on the wire tells it apart.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -10,6 +10,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
 import org.dotterelcourse.daemon.http.BoundedBodyCollector;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
@@ -250,10 +251,10 @@
         }
         Call call = new Call(attributes, request.method(), request.uri(), forwardedHeaders, body);
         log.setCall(call);
-        return forwarder.forward(call).flatMap(reply -> send(response, reply, log));
+        return forwarder.forward(call).flatMap(reply -> send(response, request.version(), reply, log));
     }
 
-    private Mono<Void> send(HttpServerResponse response, Reply reply, RequestLog log) {
+    private Mono<Void> send(HttpServerResponse response, HttpVersion version, Reply reply, RequestLog log) {
         if (reply instanceof Reply.Local local) {
             return sendLocal(response, local.reply(), log);
         }
@@ -263,7 +264,7 @@
         }
         Reply.Streamed streamed = (Reply.Streamed) reply;
         log.setStatus(streamed.status(), "");
-        return HttpReplies.send(response, streamed, flushes, log::recordFailure);
+        return HttpReplies.send(response, version, streamed, flushes, log::recordFailure);
     }
 
     private static Mono<Void> sendLocal(HttpServerResponse response, LocalReply reply, RequestLog log) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/HttpReplies.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/HttpReplies.java
@@ -7,7 +7,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpVersion;
 import org.dotterelcourse.gateway.forward.Reply;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -36,21 +38,40 @@
         return response.sendObject(Unpooled.wrappedBuffer(buffered.body())).then();
     }
 
-    /** Sends a stream. If it fails, the connection is closed, so that the response does not look complete. */
+    /**
+     * Sends a stream in chunks, or until the end of the connection to a client that does not know chunks. If it fails, the
+     * connection is closed without the last chunk, or reset, so that the response does not look complete.
+     *
+     * @param version the HTTP version of the request
+     */
     static Mono<Void> send(
-            HttpServerResponse response, Reply.Streamed streamed, Counter flushes, Consumer<Throwable> onError) {
+            HttpServerResponse response,
+            HttpVersion version,
+            Reply.Streamed streamed,
+            Counter flushes,
+            Consumer<Throwable> onError) {
+        boolean isChunked = !version.equals(HttpVersion.HTTP_1_0);
         response.status(streamed.status());
         response.responseHeaders().add(Admission.forwardedResponseHeaders(streamed.headers()));
-        response.chunkedTransfer(true);
-        return sendEvents(response, streamed, flushes).doOnError(error -> {
+        response.chunkedTransfer(isChunked);
+        if (!isChunked) {
+            response.keepAlive(false);
+        }
+        return sendEvents(response, isChunked, streamed, flushes).doOnError(error -> {
             onError.accept(error);
-            response.withConnection(connection -> connection.channel().close());
+            response.withConnection(connection -> {
+                if (!isChunked) {
+                    connection.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                }
+                connection.channel().close();
+            });
         });
     }
 
-    private static Mono<Void> sendEvents(HttpServerResponse response, Reply.Streamed streamed, Counter flushes) {
+    private static Mono<Void> sendEvents(
+            HttpServerResponse response, boolean isChunked, Reply.Streamed streamed, Counter flushes) {
         return StreamSender.send(Flux.from(streamed.events()), events -> {
-            if (EventWriter.isApplicable(response)) {
+            if (isChunked && EventWriter.isApplicable(response)) {
                 return response.then(new EventWriter(events, EventWriter.channel(response), flushes))
                         .then();
             }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import org.dotterelcourse.daemon.http.BoundedBodyCollector;
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
@@ -263,6 +264,7 @@
                 ? HttpReplies.send(response, buffered)
                 : HttpReplies.send(
                         response,
+                        HttpVersion.HTTP_1_1,
                         (Reply.Streamed) reply,
                         flushes,
                         error -> LOG.infof(
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
@@ -11,6 +11,7 @@
  * has many events and each operator costs processor time for each of them. Must be used on the gateway's event loop only.
  */
 final class EventRelay extends FluxOperator<byte[], byte[]> {
+    private final boolean isEndAmbiguous;
     private final Listener listener;
 
     /** Is notified of the progress of a stream. */
@@ -28,24 +29,35 @@
         void onEnd();
     }
 
-    EventRelay(Flux<byte[]> body, Listener listener) {
+    /**
+     * Creates a relay.
+     *
+     * @param body the worker's body
+     * @param isEndAmbiguous whether the body also ends without an error if the worker ends, so that a stream without events
+     *     is not complete
+     * @param listener is notified of the progress
+     */
+    EventRelay(Flux<byte[]> body, boolean isEndAmbiguous, Listener listener) {
         super(body);
+        this.isEndAmbiguous = isEndAmbiguous;
         this.listener = listener;
     }
 
     @Override
     public void subscribe(CoreSubscriber<? super byte[]> actual) {
-        source.subscribe(new Relay(actual, listener));
+        source.subscribe(new Relay(actual, isEndAmbiguous, listener));
     }
 
     /** The subscription of one client to one worker's stream. */
     private static final class Relay extends RelaySubscriber<byte[], byte[]> {
         private final Listener listener;
+        private boolean lacksEvent;
         private final EventFramer framer = new EventFramer();
         private boolean isEnded;
 
-        private Relay(CoreSubscriber<? super byte[]> actual, Listener listener) {
+        private Relay(CoreSubscriber<? super byte[]> actual, boolean needsEvent, Listener listener) {
             super(actual);
+            this.lacksEvent = needsEvent;
             this.listener = listener;
         }
 
@@ -60,6 +72,7 @@
                 upstream().request(1);
                 return;
             }
+            lacksEvent = false;
             events.forEach(listener::onEvent);
             actual().onNext(events.size() == 1 ? events.get(0).bytes() : join(events));
         }
@@ -78,9 +91,11 @@
             if (isEnded) {
                 return;
             }
-            if (!framer.isAtEventBoundary()) {
-                onError(new WorkerConnectionException(
-                        true, new IllegalStateException("stream ended with an incomplete event")));
+            if (lacksEvent || !framer.isAtEventBoundary()) {
+                String reason = lacksEvent
+                        ? "stream without a length ended before its first event"
+                        : "stream ended with an incomplete event";
+                onError(new WorkerConnectionException(true, new IllegalStateException(reason)));
                 return;
             }
             isEnded = true;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
@@ -58,8 +58,8 @@
                     recordEventTiming(call);
                 },
                 () -> recordCompletion(call, placement));
-        Flux<byte[]> events =
-                new EventRelay(response.body(), progress).onErrorResume(WorkerConnectionException.class, resume);
+        Flux<byte[]> events = new EventRelay(response.body(), response.endsWithConnection(), progress)
+                .onErrorResume(WorkerConnectionException.class, resume);
         if (call.attributes().route().isRetryable() && !placement.isAtPeer()) {
             events = closeWhenHanging(events, response);
         }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamedResponse.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamedResponse.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.gateway.forward;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import reactor.core.publisher.Flux;
 
@@ -11,4 +12,10 @@
  * @param body the body; completes without an error only if it is complete, and closes the connection when cancelled
  * @param close closes the connection; does nothing if it is already closed
  */
-record StreamedResponse(int status, HttpHeaders headers, Flux<byte[]> body, Runnable close) {}
+record StreamedResponse(int status, HttpHeaders headers, Flux<byte[]> body, Runnable close) {
+    /** Returns whether the body ends with the connection, so that its end alone does not show that it is complete. */
+    boolean endsWithConnection() {
+        return !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+}
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/EventRelayTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/EventRelayTest.java
@@ -100,7 +100,7 @@
     }
 
     private static Flux<byte[]> relay(Flux<byte[]> body, Progress progress) {
-        return new EventRelay(body, progress);
+        return new EventRelay(body, false, progress);
     }
 
     private static String randomStream(Random random) {
