--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/CrashRecord.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/CrashRecord.java
@@ -62,11 +62,14 @@
         if (hasFinishedRun && endNanos - finishedNanos <= 0) {
             return false;
         }
-        boolean isFirst = !hasFinishedRun;
+        boolean isNews = !hasFinishedRun;
         hasFinishedRun = true;
         finishedNanos = endNanos;
-        updatedNanos = nowNanos;
-        return crashes.values().removeIf(crash -> crash.crashedNanos() - endNanos <= 0) || isFirst;
+        isNews |= crashes.values().removeIf(crash -> crash.crashedNanos() - endNanos <= 0);
+        if (isNews) {
+            updatedNanos = nowNanos;
+        }
+        return isNews;
     }
 
     void removeCrashesBefore(long timeNanos) {
