--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
@@ -51,8 +51,8 @@
     /** The subscription of one client to one worker's stream. */
     private static final class Relay extends RelaySubscriber<byte[], byte[]> {
         private final Listener listener;
-        private boolean lacksEvent;
         private final EventFramer framer = new EventFramer();
+        private boolean lacksEvent;
         private boolean isEnded;
 
         private Relay(CoreSubscriber<? super byte[]> actual, boolean needsEvent, Listener listener) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/PartQuarantine.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/PartQuarantine.java
@@ -31,6 +31,9 @@
     /** Time in which a trial shows whether it crashes its worker; then the next request is a trial. */
     private static final long TRIAL_MILLIS = 3_000;
 
+    /** About the time after which most trials have crashed their workers or completed short streams. */
+    private static final long RETRY_AFTER_TRIAL_MILLIS = 1_000;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final GatewayState state;
@@ -80,7 +83,7 @@
         for (String version : untested) {
             if (isAnyAllowed || !call.versions().accepts(version) || !beginTrial(call, version, nowNanos)) {
                 denied.add(version);
-                retryAfterMillis = Math.min(retryAfterMillis, TRIAL_MILLIS);
+                retryAfterMillis = Math.min(retryAfterMillis, RETRY_AFTER_TRIAL_MILLIS);
             }
         }
         call.versions().exclude(denied);
