Clients that resume a stream without naming it are served while one version serves, also after a start

For such a request the only version that the router has seen decides, for however short a time it has watched; a named stream is still never guessed.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
@@ -8,6 +8,7 @@
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.policy.resumption.StreamKey;
 import org.dotterelcourse.policy.resumption.StreamVersionNotice;
+import org.dotterelcourse.policy.resumption.VersionHistory;
 import reactor.core.publisher.Mono;
 
 /**
@@ -78,16 +79,20 @@
 
     private Mono<Optional<String>> find(Call call, String resumedId) {
         String upstream = call.attributes().upstream().name();
+        VersionHistory history = state.workers().versionHistory();
+        long nowNanos = loop.nowNanos();
+        long lifetimeNanos = state.streamLifetimeNanos();
+        if (resumedId.isEmpty()) {
+            // A client of before streams were named, at a time when versions did not serve side by side.
+            return Mono.just(history.onlySeenVersion(upstream, lifetimeNanos, nowNanos));
+        }
         StreamKey stream = StreamKey.of(call.attributes().customer(), upstream, resumedId);
-        Optional<String> recorded = resumedId.isEmpty()
-                ? Optional.empty()
-                : state.streamVersions().find(stream).map(StreamVersionNotice::version);
+        Optional<String> recorded = state.streamVersions().find(stream).map(StreamVersionNotice::version);
         if (recorded.isPresent()) {
             return Mono.just(recorded);
         }
-        Optional<String> only =
-                state.workers().versionHistory().onlyVersion(upstream, state.streamLifetimeNanos(), loop.nowNanos());
-        if (only.isPresent() || resumedId.isEmpty()) {
+        Optional<String> only = history.onlyVersion(upstream, lifetimeNanos, nowNanos);
+        if (only.isPresent()) {
             return Mono.just(only);
         }
         asked.inc();
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
@@ -84,10 +84,20 @@
      *     process has not observed the upstream for so long
      */
     public Optional<String> onlyVersion(String upstream, long streamNanos, long nowNanos) {
-        Map<String, Serving> versions = byUpstream.get(upstream);
-        if (versions == null || !isObserving || nowNanos - observedSinceNanos < streamNanos) {
-            return Optional.empty();
-        }
+        boolean isObservedForLong = isObserving && nowNanos - observedSinceNanos >= streamNanos;
+        return isObservedForLong ? onlySeenVersion(upstream, streamNanos, nowNanos) : Optional.empty();
+    }
+
+    /**
+     * Returns the only version that this process has seen, for however short a time. Another one may have served before.
+     *
+     * @param upstream name of the upstream
+     * @param streamNanos longest time in nanoseconds from the beginning of a stream to its last resumption
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return the version; empty if there were several, or if it is unknown
+     */
+    public Optional<String> onlySeenVersion(String upstream, long streamNanos, long nowNanos) {
+        Map<String, Serving> versions = byUpstream.getOrDefault(upstream, new HashMap<>());
         versions.values().removeIf(each -> each.workers == 0 && nowNanos - each.endedNanos > streamNanos);
         return versions.size() == 1
                 ? versions.keySet().stream()
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/resumption/VersionHistoryTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/resumption/VersionHistoryTest.java
@@ -44,6 +44,17 @@
         assertThat(history.onlyVersion("u", LIFETIME, 530)).contains("v1");
     }
 
+    @Test
+    void theOnlySeenVersionNeedsNoTimeOfObservation() {
+        history.add("u", "v1");
+        assertThat(history.onlySeenVersion("u", LIFETIME, 0)).contains("v1");
+        history.add("u", "v2");
+        assertThat(history.onlySeenVersion("u", LIFETIME, 0)).isEmpty();
+        history.remove("u", "v2", 10);
+        assertThat(history.onlySeenVersion("u", LIFETIME, 40)).isEmpty();
+        assertThat(history.onlySeenVersion("u", LIFETIME, 41)).contains("v1");
+    }
+
     @Test
     void anUnknownVersionIsNotTheOnlyOne() {
         history.beginObservation(0);
