--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
@@ -83,7 +83,7 @@
         long nowNanos = loop.nowNanos();
         long lifetimeNanos = state.streamLifetimeNanos();
         if (resumedId.isEmpty()) {
-            // A client of before streams were named, at a time when versions did not serve side by side.
+            // Clients that do not name the stream predate upstreams of several versions.
             return Mono.just(history.onlySeenVersion(upstream, lifetimeNanos, nowNanos));
         }
         StreamKey stream = StreamKey.of(call.attributes().customer(), upstream, resumedId);
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/Fingerprint.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/Fingerprint.java
@@ -1,9 +1,6 @@
 package org.dotterelcourse.policy.quarantine;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import org.dotterelcourse.policy.Digest;
 
 /**
  * Identifies a request by its content, so that a request that a client sends again is recognized although its id, its
@@ -23,12 +20,8 @@
      * @return the fingerprint, equal for requests that have all of these in common
      */
     public static Fingerprint of(String customer, String method, String uri, byte[] body) {
-        MessageDigest digest = sha256();
-        update(digest, customer.getBytes(StandardCharsets.UTF_8));
-        update(digest, method.getBytes(StandardCharsets.UTF_8));
-        update(digest, uri.getBytes(StandardCharsets.UTF_8));
-        update(digest, body);
-        return new Fingerprint(ByteBuffer.wrap(digest.digest()).getLong());
+        return new Fingerprint(
+                new Digest().add(customer).add(method).add(uri).add(body).value());
     }
 
     /**
@@ -39,25 +32,8 @@
      * @return the fingerprint, equal for equal parts of whatever requests to the upstream
      */
     public static Fingerprint ofPromptPart(String upstream, String part) {
-        MessageDigest digest = sha256();
-        update(digest, "part of a prompt".getBytes(StandardCharsets.UTF_8));
-        update(digest, upstream.getBytes(StandardCharsets.UTF_8));
-        update(digest, part.getBytes(StandardCharsets.UTF_8));
-        return new Fingerprint(ByteBuffer.wrap(digest.digest()).getLong());
-    }
-
-    /** Prefixes the part with its length, so that moving bytes from one part to the next changes the digest. */
-    private static void update(MessageDigest digest, byte[] part) {
-        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, part.length));
-        digest.update(part);
-    }
-
-    private static MessageDigest sha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("SHA-256 is not available, but every Java platform must support it", e);
-        }
+        return new Fingerprint(
+                new Digest().add("part of a prompt").add(upstream).add(part).value());
     }
 
     @Override
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/StreamKey.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/StreamKey.java
@@ -1,9 +1,6 @@
 package org.dotterelcourse.policy.resumption;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import org.dotterelcourse.policy.Digest;
 
 /**
  * Identifies a stream in messages between processes. Contains the customer and the upstream, so that a request id of
@@ -22,25 +19,7 @@
      * @return the key, equal for streams that have all of these in common
      */
     public static StreamKey of(String customer, String upstream, String requestId) {
-        MessageDigest digest = sha256();
-        update(digest, customer);
-        update(digest, upstream);
-        update(digest, requestId);
-        return new StreamKey(ByteBuffer.wrap(digest.digest()).getLong());
-    }
-
-    /** Prefixes the text with its length, so that moving characters from one text to the next changes the digest. */
-    private static void update(MessageDigest digest, String text) {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, bytes.length));
-        digest.update(bytes);
-    }
-
-    private static MessageDigest sha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("SHA-256 is not available, but every Java platform must support it", e);
-        }
+        return new StreamKey(
+                new Digest().add(customer).add(upstream).add(requestId).value());
     }
 }
