A part beside two crashing ones is tried, not held back for ten minutes

If several parts that a request lacks explain all crashes together, the request is now a trial: one in the fleet, the next one after 30 seconds at the earliest, since a crashing part whose requests all have different parts beside it looks the same. A run that finishes frees the part.

theCauseIsFoundThoughOtherPartsOfItsRequestsFinishBetweenTheCrashes asked for holding such a part after its third crash; that case is now a rare trial (new test), and it asks for holding after a crash without another part beside it.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/PartQuarantine.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/PartQuarantine.java
@@ -31,6 +31,9 @@
     /** Time in which a trial shows whether it crashes its worker; then the next request is a trial. */
     private static final long TRIAL_MILLIS = 3_000;
 
+    /** Time between trials of a part that may well crash its worker: a few crashes a minute are bearable. */
+    private static final long RARE_TRIAL_MILLIS = 30_000;
+
     /** About the time after which most trials have crashed their workers or completed short streams. */
     private static final long RETRY_AFTER_TRIAL_MILLIS = 1_000;
 
@@ -42,8 +45,12 @@
     private final Counter trials;
     private final Map<CrashCause, RunningTrial> runningTrials = new HashMap<>();
 
-    /** The request that tries a part, and when it began. */
-    private record RunningTrial(String requestId, long beganNanos) {}
+    /** The request that tries a part, when it began, and the time until the next trial may begin. */
+    private record RunningTrial(String requestId, long beganNanos, long intervalMillis) {
+        boolean isOver(long nowNanos) {
+            return nowNanos - beganNanos >= intervalMillis * NANOS_PER_MILLI;
+        }
+    }
 
     PartQuarantine(GatewayState state, MetricRegistry metrics) {
         this.state = state;
@@ -66,22 +73,26 @@
                 .versionHistory()
                 .servingVersions(call.attributes().upstream().name());
         Set<String> denied = new HashSet<>();
-        Set<String> untested = new HashSet<>();
+        Map<String, Long> trialMillis = new HashMap<>();
         long retryAfterMillis = Long.MAX_VALUE;
         for (String version : serving) {
             Verdict verdict = quarantine.verdict(causes(call, version), nowNanos);
             if (verdict instanceof Verdict.Quarantined quarantined) {
                 denied.add(version);
                 retryAfterMillis = Math.min(retryAfterMillis, quarantined.retryAfterMillis());
-            } else if (verdict instanceof Verdict.Trial) {
-                untested.add(version);
+            } else if (verdict instanceof Verdict.Trial trial) {
+                trialMillis.put(version, trial.isRare() ? RARE_TRIAL_MILLIS : TRIAL_MILLIS);
             }
         }
         boolean isAnyAllowed = serving.stream()
-                .anyMatch(version ->
-                        call.versions().accepts(version) && !denied.contains(version) && !untested.contains(version));
-        for (String version : untested) {
-            if (isAnyAllowed || !call.versions().accepts(version) || !beginTrial(call, version, nowNanos)) {
+                .anyMatch(version -> call.versions().accepts(version)
+                        && !denied.contains(version)
+                        && !trialMillis.containsKey(version));
+        for (Map.Entry<String, Long> trial : trialMillis.entrySet()) {
+            String version = trial.getKey();
+            if (isAnyAllowed
+                    || !call.versions().accepts(version)
+                    || !beginTrial(call, version, trial.getValue(), nowNanos)) {
                 denied.add(version);
                 retryAfterMillis = Math.min(retryAfterMillis, RETRY_AFTER_TRIAL_MILLIS);
             }
@@ -104,7 +115,7 @@
      * Begins a trial of all parts of a call that need one. One process of the fleet makes the trials of a part at a version,
      * so that a part that crashes workers crashes one more and not one for each process.
      */
-    private boolean beginTrial(Call call, String version, long nowNanos) {
+    private boolean beginTrial(Call call, String version, long intervalMillis, long nowNanos) {
         List<CrashCause> causes = causes(call, version).stream()
                 .filter(cause -> !(quarantine.verdict(cause, nowNanos) instanceof Verdict.Allowed))
                 .toList();
@@ -112,16 +123,16 @@
             RunningTrial running = runningTrials.get(cause);
             boolean isOther = running != null
                     && !running.requestId().equals(call.attributes().id())
-                    && nowNanos - running.beganNanos() < TRIAL_MILLIS * NANOS_PER_MILLI;
+                    && !running.isOver(nowNanos);
             String key = cause.fingerprint() + " " + cause.version();
             if (isOther || !state.workers().isFirstHolder(key, nowNanos)) {
                 return false;
             }
         }
-        runningTrials.values().removeIf(running -> nowNanos - running.beganNanos() >= TRIAL_MILLIS * NANOS_PER_MILLI);
+        runningTrials.values().removeIf(running -> running.isOver(nowNanos));
         for (CrashCause cause : causes) {
             if (runningTrials.putIfAbsent(
-                            cause, new RunningTrial(call.attributes().id(), nowNanos))
+                            cause, new RunningTrial(call.attributes().id(), nowNanos, intervalMillis))
                     == null) {
                 trials.inc();
             }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/CrashRecord.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/CrashRecord.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The crashes of workers that ran one request, or requests with one part of their prompts. Crashes before the end of a run
@@ -85,6 +86,11 @@
         return crashes.keySet().containsAll(other.crashes.keySet());
     }
 
+    /** Returns the incarnations of the workers that crashed. */
+    Set<Integer> crashedWorkers() {
+        return crashes.keySet();
+    }
+
     boolean hasFinishedRun() {
         return hasFinishedRun;
     }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/RequestQuarantine.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/RequestQuarantine.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.dotterelcourse.policy.quarantine.CrashNotice.Ending;
 
@@ -119,8 +121,9 @@
     /**
      * Decides whether a request may be sent to the workers of one software version, by the shared parts of its prompt.
      *
-     * <p>A part gets the crashes of every part that requests have beside it. If a part that the request lacks has all crashes
-     * of one that it has, then that one explains them: the request is sent, or is a trial where the part would be held back.
+     * <p>A part gets the crashes of every part that requests have beside it. Parts that the request lacks explain crashes that
+     * they have too. If several of them together explain all crashes of a part that would be held back, the request is a
+     * rare trial; if one explains them all while too few are known for holding the part back, the request is sent.
      *
      * @param parts the parts at that version
      * @param nowNanos the current monotonic time in nanoseconds
@@ -130,26 +133,42 @@
         Verdict strictest = new Verdict.Allowed();
         for (CrashCause part : parts) {
             Verdict verdict = verdict(part, nowNanos);
-            if (!(verdict instanceof Verdict.Allowed) && isExplained(part, parts, nowNanos)) {
-                verdict = verdict instanceof Verdict.Quarantined ? new Verdict.Trial() : new Verdict.Allowed();
+            if (verdict instanceof Verdict.Trial && isExplainedByOne(part, parts)) {
+                verdict = new Verdict.Allowed();
+            } else if (verdict instanceof Verdict.Quarantined && isExplainedBySeveral(part, parts)) {
+                verdict = new Verdict.Trial(true);
             }
             if (verdict instanceof Verdict.Quarantined) {
                 return verdict;
             }
-            strictest = verdict instanceof Verdict.Trial ? verdict : strictest;
+            strictest = verdict instanceof Verdict.Allowed ? strictest : verdict;
         }
         return strictest;
     }
 
-    private boolean isExplained(CrashCause part, List<CrashCause> request, long nowNanos) {
+    private boolean isExplainedByOne(CrashCause part, List<CrashCause> request) {
         CrashRecord record = records.get(part);
-        if (record == null || crashes(part, nowNanos).isEmpty()) {
+        return record != null
+                && record.hasCrashes()
+                && recordsOutside(request, part.version()).anyMatch(other -> other.includesCrashesOf(record));
+    }
+
+    private boolean isExplainedBySeveral(CrashCause part, List<CrashCause> request) {
+        CrashRecord record = records.get(part);
+        if (record == null || !record.hasCrashes()) {
             return false;
         }
+        Set<Integer> explained = recordsOutside(request, part.version())
+                .flatMap(other -> other.crashedWorkers().stream())
+                .collect(Collectors.toSet());
+        return explained.containsAll(record.crashedWorkers());
+    }
+
+    /** Returns the records of the parts that a request lacks. */
+    private Stream<CrashRecord> recordsOutside(List<CrashCause> request, int version) {
         return records.entrySet().stream()
-                .anyMatch(other -> other.getKey().version() == part.version()
-                        && !request.contains(other.getKey())
-                        && other.getValue().includesCrashesOf(record));
+                .filter(other -> other.getKey().version() == version && !request.contains(other.getKey()))
+                .map(Map.Entry::getValue);
     }
 
     /** At a further software version than the one whose workers have crashed, one crash is enough. */
@@ -163,7 +182,7 @@
             return quarantined(crashes, nowNanos);
         }
         boolean isUntested = isHeldElsewhere && !hasFinishedRun(cause);
-        return isUntested || weight >= PART_TRIAL_WEIGHT ? new Verdict.Trial() : new Verdict.Allowed();
+        return isUntested || weight >= PART_TRIAL_WEIGHT ? new Verdict.Trial(false) : new Verdict.Allowed();
     }
 
     private static Verdict quarantined(List<CrashRecord.Crash> crashes, long nowNanos) {
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/Verdict.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/quarantine/Verdict.java
@@ -14,8 +14,10 @@
     /**
      * Workers have crashed under a part of the prompt, but too few for certainty, or only workers of other software
      * versions: one request at a time may run in the whole fleet.
+     *
+     * @param isRare whether the part may well crash workers, so that trials should be rare
      */
-    record Trial() implements Verdict {}
+    record Trial(boolean isRare) implements Verdict {}
 
     /**
      * The request has repeatedly crashed workers: it must not run.
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/PromptPartQuarantineTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/quarantine/PromptPartQuarantineTest.java
@@ -50,6 +50,19 @@
         assertThat(verdict("v1", START + 3 * SECOND, SHARED, CRASHING)).isInstanceOf(Verdict.Quarantined.class);
     }
 
+    // Guards against holding back a kind of requests for good when two parts crash workers and none of its runs has
+    // finished.
+    @Test
+    void aPartThatIsBesideTwoCrashingOnesIsTriedByARequestWithoutThem() {
+        for (int i = 0; i < 4; i++) {
+            crash("v1", START + i * SECOND, SHARED, CRASHING + i % 2);
+        }
+        assertThat(verdict("v1", START + 4 * SECOND, SHARED)).isInstanceOf(Verdict.Trial.class);
+        assertThat(verdict("v1", START + 4 * SECOND, SHARED, CRASHING + 0)).isInstanceOf(Verdict.Quarantined.class);
+        finish("v1", START + 5 * SECOND, SHARED);
+        assertThat(verdict("v1", START + 5 * SECOND, SHARED)).isInstanceOf(Verdict.Allowed.class);
+    }
+
     @Test
     void theCauseIsFoundThoughOtherPartsOfItsRequestsFinishBetweenTheCrashes() {
         for (int i = 0; i < 3; i++) {
@@ -57,9 +70,19 @@
             finish("v1", START + i * SECOND + SECOND / 2, SHARED);
         }
         assertThat(verdict("v1", START + 3 * SECOND, SHARED, "beside 1")).isInstanceOf(Verdict.Allowed.class);
+        crash("v1", START + 3 * SECOND, SHARED, CRASHING);
         assertThat(verdict("v1", START + 3 * SECOND, SHARED, CRASHING)).isInstanceOf(Verdict.Quarantined.class);
     }
 
+    // Guards against many trials of a crashing part whose requests all have different parts beside it.
+    @Test
+    void aPartWhoseCrashesMayAllHaveOtherCausesIsTriedRarely() {
+        for (int i = 0; i < 3; i++) {
+            crash("v1", START + i * SECOND, CRASHING, "beside " + i);
+        }
+        assertThat(verdict("v1", START + 3 * SECOND, CRASHING)).isEqualTo(new Verdict.Trial(true));
+    }
+
     @Test
     void partsOfRequestsThatWereOnTheSameWorkerOnceAreAllowed() {
         crash("v1", START, SHARED, CRASHING);
