Slots of brittle workers are granted by one process for the whole fleet

Cause: each router learned alone what a worker had rejected, and tried alone for more room, at the latest every 4 s. The cost at the worker grew with the fleet: n / 4 trials a second (15 at 59 routers, 85 at 340, where 3 are borne), up to n rejections each time the room shrank, and all that routers without a part of the slots sent at once into the same free places until the next load report.

Change: SlotExchange. The slots of a brittle worker have one owner, by rendezvous hashing over the members; a router asks it before it sends, whichever way the request came (first attempt, retry, queue, resumption, for a peer), waits at most a quarter of its latency target, and asks up to three workers. The protocol is the grant protocol of the coordination library (leases, re-registration at a new owner, own part of the slots while no owner answers); SlotLedger decides: rejections of the last second and sends of the last 10 ms together stay within what the worker bears. Requests that were sent without asking (before the statement, by routers of earlier releases) are told apart in load reports by a column of those that have asked; it is absent while no worker is brittle. A router that has lost most of its peers grants only its part of the slots. Rejections by brittle workers are logged.

BrittleWorkerAdmission and its test are removed: each process kept its own part and its own figures, which is the fault. What its test held is held of the new parts: a full worker gets nothing, trials after a while and more rarely at workers that bear less (SlotLedgerTest), sums of parts and service without a part (SlotFleetTest).

Ruled out: sharing what each router learned in load reports: 0.3 to 0.6 s at 59 routers, within which all parts beyond the new room are rejected; parts of slots only: with fewer slots than routers most clients are refused beside free slots.

Evidence: in SlotFleetTest a worker of 6 slots whose room halves rejects at most 3 a second with 3, 12, 13, 59, 85 and 340 processes alike, with 246 to 270 bytes a served request.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/WorkerStatements.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/WorkerStatements.java
@@ -45,7 +45,7 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordBrittleness(WorkerEntry worker, OptionalDouble rejectionsPerSecond, long nowNanos) {
-        update(workers.brittleness(), AuditEvent.Kind.BRITTLE, worker, rejectionsPerSecond, nowNanos);
+        update(workers.brittle().statements(), AuditEvent.Kind.BRITTLE, worker, rejectionsPerSecond, nowNanos);
     }
 
     private void update(
@@ -103,7 +103,7 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void applyBrittlenessNotice(LimitNotice notice, String peer, long nowNanos) {
-        apply(workers.brittleness(), AuditEvent.Kind.BRITTLE, notice, peer, nowNanos);
+        apply(workers.brittle().statements(), AuditEvent.Kind.BRITTLE, notice, peer, nowNanos);
     }
 
     private void apply(WorkerLimits limits, AuditEvent.Kind kind, LimitNotice notice, String peer, long nowNanos) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -177,7 +177,7 @@
             state.workers().updateFleet(peers.self(), others, nowNanos);
             state.quarantine().scheduleReminders();
             state.workers().limits().scheduleReminders();
-            state.workers().brittleness().scheduleReminders();
+            state.workers().brittle().statements().scheduleReminders();
         }
         state.updateFleetSize(others.size() + 1);
         state.updateTimings(nowNanos);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/LoadCodec.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/LoadCodec.java
@@ -15,12 +15,16 @@
 
     static FleetProtos.WorkerLoads encode(Map<Integer, PeerLoads.Load> loads) {
         FleetProtos.WorkerLoads.Builder columns = FleetProtos.WorkerLoads.newBuilder();
+        boolean hasAsked = loads.values().stream().anyMatch(load -> load.asked() > 0);
         loads.forEach((worker, load) -> columns.addWorker(worker)
                 .addInFlight(load.inFlight())
                 .addInteractive(load.interactive())
                 .addPrefillMillis((int) Math.round(load.prefillMillis()))
                 .addSucceeded((int) Math.round(UNITS_PER_OUTCOME * load.succeeded()))
                 .addFailed((int) Math.round(UNITS_PER_OUTCOME * load.failed())));
+        if (hasAsked) {
+            loads.values().forEach(load -> columns.addAsked(load.asked()));
+        }
         return columns.build();
     }
 
@@ -35,7 +39,8 @@
                 || columns.getInteractiveCount() != count
                 || columns.getPrefillMillisCount() != count
                 || columns.getSucceededCount() != count
-                || columns.getFailedCount() != count) {
+                || columns.getFailedCount() != count
+                || columns.getAskedCount() != count && columns.getAskedCount() != 0) {
             throw new IllegalArgumentException(
                     "columns differ in length, expected " + count + " values (one per worker)");
         }
@@ -46,7 +51,8 @@
                     columns.getInteractive(i),
                     columns.getPrefillMillis(i),
                     columns.getSucceeded(i) / UNITS_PER_OUTCOME,
-                    columns.getFailed(i) / UNITS_PER_OUTCOME);
+                    columns.getFailed(i) / UNITS_PER_OUTCOME,
+                    columns.getAskedCount() == 0 ? 0 : columns.getAsked(i));
             loads.put(columns.getWorker(i), load);
         }
         return loads;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/LoadColumns.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/LoadColumns.java
@@ -15,12 +15,13 @@
  * some rows replaced, so that a collector sums up and converts the loads once for all of its reporters.
  */
 final class LoadColumns {
-    private static final int COLUMNS = 5;
+    private static final int COLUMNS = 6;
     private static final int IN_FLIGHT = 0;
     private static final int INTERACTIVE = 1;
     private static final int PREFILL_MILLIS = 2;
     private static final int SUCCEEDED = 3;
     private static final int FAILED = 4;
+    private static final int ASKED = 5;
 
     /** Field number of the first column; the others follow in the order of the constants. */
     private static final int FIRST_FIELD = FleetProtos.WorkerLoads.IN_FLIGHT_FIELD_NUMBER;
@@ -47,6 +48,7 @@
         columns[PREFILL_MILLIS][row] = (int) Math.round(load.prefillMillis());
         columns[SUCCEEDED][row] = (int) Math.round(LoadCodec.UNITS_PER_OUTCOME * load.succeeded());
         columns[FAILED][row] = (int) Math.round(LoadCodec.UNITS_PER_OUTCOME * load.failed());
+        columns[ASKED][row] = load.asked();
     }
 
     int rows() {
@@ -61,6 +63,7 @@
         if (!Arrays.equals(workers, earlier.workers)
                 || !Arrays.equals(values[IN_FLIGHT], earlier.values[IN_FLIGHT])
                 || !Arrays.equals(values[INTERACTIVE], earlier.values[INTERACTIVE])
+                || !Arrays.equals(values[ASKED], earlier.values[ASKED])
                 || !Arrays.equals(values[PREFILL_MILLIS], earlier.values[PREFILL_MILLIS])) {
             return true;
         }
@@ -109,7 +112,9 @@
                     out.writeFixed32NoTag(worker);
                 }
                 for (int column = 0; column < COLUMNS; column++) {
-                    writeColumn(out, FIRST_FIELD + column, values[column]);
+                    if (column != ASKED || hasAsked(values)) {
+                        writeColumn(out, FIRST_FIELD + column, values[column]);
+                    }
                 }
             }
             out.flush();
@@ -119,6 +124,11 @@
         return bytes.toByteArray();
     }
 
+    /** Returns whether a slot was asked for at all; only then the column is sent. */
+    private static boolean hasAsked(int[][] values) {
+        return Arrays.stream(values[ASKED]).anyMatch(asked -> asked > 0);
+    }
+
     private static void writeColumn(CodedOutputStream out, int field, int[] column) throws IOException {
         int size = 0;
         for (int value : column) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ReportEncoder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ReportEncoder.java
@@ -40,7 +40,7 @@
         periodNanos = nowNanos;
         List<CrashNotice> crashes = state.quarantine().takeNotices(nowNanos);
         List<LimitNotice> limits = state.workers().limits().takeNotices(nowNanos);
-        List<LimitNotice> brittle = state.workers().brittleness().takeNotices(nowNanos);
+        List<LimitNotice> brittle = state.workers().brittle().statements().takeNotices(nowNanos);
         hasNotices = !crashes.isEmpty() || !limits.isEmpty() || !brittle.isEmpty();
         FleetProtos.LoadReport.Builder report = FleetProtos.LoadReport.newBuilder()
                 .setRevision(publications.position().revision())
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -39,7 +39,8 @@
     private boolean isForPeer;
     private boolean wasPlaced;
     private String relayPeer = "";
-    private long relayRetryAfterMillis;
+    private long retryAfterMillis;
+    private int slotRejections;
 
     /**
      * Properties of a request that are determined at its admission.
@@ -176,12 +177,12 @@
 
     /** Records when a peer has asked the client to retry. */
     void recordRelayRetryAfter(long millis) {
-        relayRetryAfterMillis = millis;
+        retryAfterMillis = millis;
     }
 
-    /** Returns the time in milliseconds after which the client should retry according to a peer; 0 if there is none. */
-    long relayRetryAfterMillis() {
-        return relayRetryAfterMillis;
+    /** Returns after how many milliseconds the client should retry according to peers; 0 if none has told. */
+    long retryAfterMillis() {
+        return retryAfterMillis;
     }
 
     /** Returns the headers of the request to a worker. */
@@ -254,6 +255,18 @@
         return relayPeer;
     }
 
+    /** Leaves a worker out of further attempts that has no room for the request. Nothing was sent, so it does not count. */
+    void recordNoSlot(WorkerEntry worker, long millisUntilRoom) {
+        triedWorkers.add(worker.id());
+        slotRejections++;
+        retryAfterMillis = Math.max(retryAfterMillis, millisUntilRoom);
+    }
+
+    /** Returns the number of workers that had no slot for the request. */
+    int slotRejections() {
+        return slotRejections;
+    }
+
     /** Records that the worker was not reached. It received nothing, so the send does not count. */
     void recordConnectFailure() {
         sendCount--;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
@@ -40,7 +40,7 @@
                                         call.versions().isBound()
                                                 ? RETRY_AFTER_NO_VERSION_MILLIS
                                                 : RETRY_AFTER_FULL_MILLIS,
-                                        call.relayRetryAfterMillis())));
+                                        call.retryAfterMillis())));
     }
 
     private static String explain(Call call, String reason) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -52,6 +52,7 @@
     private Reachability reachability;
     private RelayAttempts relays;
     private ClientResumption clientResumption;
+    private SlotAttempts slots;
 
     /**
      * Creates a forwarder.
@@ -87,6 +88,7 @@
         streams = new StreamForwarder(loop, state, reachability, failureHandler, metrics);
         clientResumption = new ClientResumption(loop, state, metrics);
         statementHandler = new WorkerStatementHandler(dialect, validator, state);
+        slots = new SlotAttempts(loop, state);
         RandomGenerator random = RandomGenerator.getDefault();
         selection = new WorkerSelection(dataCentre, state, random);
         SharedBackoff sharedBackoff = new SharedBackoff(state, random);
@@ -115,6 +117,15 @@
         clientResumption.setPeers(peers);
     }
 
+    /**
+     * Sets the source of slots of brittle workers.
+     *
+     * @param source the source
+     */
+    public void grantSlotsThrough(SlotSource source) {
+        slots.setSource(source);
+    }
+
     @Override
     public void stop() {
         // The connections are closed with the event loop.
@@ -199,8 +210,31 @@
             return Mono.just(finalReplies.reply(
                     call, earlierResponse, "workers crash under a part of this prompt", loop.nowNanos()));
         }
-        clientResumption.recordSend(call);
+        if (!slots.isNeeded(placement)) {
+            return sendPlaced(call, placed, earlierResponse);
+        }
+        return slots.acquire(call, placement)
+                .flatMap(hasSlot -> hasSlot
+                        ? sendPlaced(call, placed, earlierResponse)
+                        : sendElsewhere(call, placed, earlierResponse))
+                .doOnCancel(placement::end);
+    }
+
+    private Mono<Reply> sendElsewhere(
+            Call call, WorkerSelection.Outcome.Placed placed, Optional<BufferedResponse> earlierResponse) {
+        placed.placement().endGone();
+        long nowNanos = loop.nowNanos();
+        return slots.mayTryAgain(call, nowNanos)
+                ? sendToSelected(call, selection.place(call, nowNanos), earlierResponse)
+                : Mono.just(finalReplies.reply(call, earlierResponse, SlotAttempts.NO_ROOM, nowNanos));
+    }
+
+    private Mono<Reply> sendPlaced(
+            Call call, WorkerSelection.Outcome.Placed placed, Optional<BufferedResponse> earlierResponse) {
+        Placement placement = placed.placement();
         long nowNanos = loop.nowNanos();
+        selection.recordSend(call, placed, nowNanos);
+        clientResumption.recordSend(call);
         return send(call, placed)
                 .timeout(
                         Duration.ofMillis(call.remainingMillis(nowNanos) + StreamForwarder.DEADLINE_GRACE_MILLIS),
@@ -225,7 +259,7 @@
                 .doOnNext(response -> reachability.recordReceived(loop.nowNanos()))
                 .transform(response -> relays.abortWhenCutOff(call, response))
                 .flatMap(response -> handleResponse(call, placement, response))
-                .doOnError(error -> placement.end());
+                .doOnError(error -> placement.endGone());
     }
 
     /** Relays the request to a peer. The retries and the deadline are those of a request to a worker. */
@@ -274,18 +308,11 @@
         }
         return BufferedResponse.collect(response)
                 .doFinally(signal -> placement.end())
-                .doOnNext(buffered -> closeUnlessFromWorker(call, response))
+                .doOnNext(buffered -> validator.closeUnlessFromWorker(call, response))
                 .flatMap(buffered ->
                         handleResult(call, placement, validator.classify(call, buffered), Optional.empty()));
     }
 
-    /** Closes the connection after a response to another request, because more such responses may follow. */
-    private void closeUnlessFromWorker(Call call, StreamedResponse response) {
-        if (!validator.isFromWorker(call, response)) {
-            response.close().run();
-        }
-    }
-
     private Mono<Reply> handleConnectionFailure(
             Call call,
             Placement placement,
@@ -313,6 +340,7 @@
         }
         if (result instanceof AttemptResult.NotExecuted notExecuted) {
             if (notExecuted.wasReached()) {
+                slots.logRejection(call, placement, notExecuted.reason());
                 placement.recordRejection(nowNanos);
             } else {
                 placement.recordConnectFailure(nowNanos);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ResponseValidator.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ResponseValidator.java
@@ -16,6 +16,13 @@
         return dialect.hasWorkerStamp(response.headers()) && matchesRequest(call, response.headers());
     }
 
+    /** Closes the connection after a response to another request, because more such responses may follow. */
+    void closeUnlessFromWorker(Call call, StreamedResponse response) {
+        if (!isFromWorker(call, response)) {
+            response.close().run();
+        }
+    }
+
     /** Returns whether the response has the id of the request, whoever sent it. */
     boolean matchesRequest(Call call, HttpHeaders headers) {
         return dialect.requestId(headers).equals(call.attributes().id());
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
@@ -9,6 +9,7 @@
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.routing.Route;
 import org.dotterelcourse.gateway.workers.Placement;
+import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.gateway.workers.WorkerState;
 import org.dotterelcourse.gateway.workers.Workers;
 import org.dotterelcourse.policy.selection.EngineModel;
@@ -51,8 +52,9 @@
          *
          * @param placement the worker, with the call counted as in flight
          * @param fetchFrom the address of the engine from which to fetch cached parts of the prompt, or empty if none
+         * @param prefillMillis estimated time in milliseconds to process the prompt; 0 without a prompt
          */
-        record Placed(Placement placement, String fetchFrom) implements Outcome {}
+        record Placed(Placement placement, String fetchFrom, double prefillMillis) implements Outcome {}
 
         /** All eligible engines are at their limit of streams. */
         record NoCapacity() implements Outcome {}
@@ -172,24 +174,31 @@
     }
 
     private Outcome placeWithoutPrompt(Call call, WorkerState worker, long nowNanos) {
-        call.recordSend(worker.entry(), nowNanos);
-        return new Outcome.Placed(place(call, worker, false, 0, nowNanos), "");
+        return new Outcome.Placed(place(call, worker, false, 0, nowNanos), "", 0);
     }
 
     private Outcome placeAtEngine(Call call, WorkerState worker, SelectionResult.Selected selected, long nowNanos) {
         Prompt prompt = call.attributes().prompt().orElseThrow();
-        call.recordSend(worker.entry(), nowNanos);
         double prefillMillis = prompt.prefillMillis(selected.cachedTokens());
-        state.cachedPrefixes().recordSent(prompt, worker.entry().incarnation(), nowNanos);
-        if (prompt.latencyClass() == LatencyClass.DELAY_TOLERANT) {
-            model(call).recordDispatch(prefillMillis, prompt.outputTokens());
-        }
         String fetchFrom = selected.fetchSource()
                 .flatMap(state.workers()::find)
                 .map(source -> source.entry().address())
                 .orElse("");
         boolean isInteractive = prompt.latencyClass() == LatencyClass.GAP_SENSITIVE;
-        return new Outcome.Placed(place(call, worker, isInteractive, prefillMillis, nowNanos), fetchFrom);
+        return new Outcome.Placed(
+                place(call, worker, isInteractive, prefillMillis, nowNanos), fetchFrom, prefillMillis);
+    }
+
+    /** Records that a placed call is about to be sent. */
+    void recordSend(Call call, Outcome.Placed placed, long nowNanos) {
+        WorkerEntry worker = placed.placement().entry();
+        call.recordSend(worker, nowNanos);
+        call.attributes().prompt().ifPresent(prompt -> {
+            state.cachedPrefixes().recordSent(prompt, worker.incarnation(), nowNanos);
+            if (prompt.latencyClass() == LatencyClass.DELAY_TOLERANT) {
+                model(call).recordDispatch(placed.prefillMillis(), prompt.outputTokens());
+            }
+        });
     }
 
     private EnginePartition partition(Call call) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/PeerLoads.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/PeerLoads.java
@@ -24,18 +24,34 @@
      * @param prefillMillis estimated time in milliseconds to process the prompts that have no first event yet
      * @param succeeded number of recent successes, exponentially decayed
      * @param failed number of recent failures, exponentially decayed
+     * @param asked number of the requests in flight for which a slot was asked for, because the worker is brittle
      */
-    public record Load(int inFlight, int interactive, double prefillMillis, double succeeded, double failed) {
+    public record Load(
+            int inFlight, int interactive, double prefillMillis, double succeeded, double failed, int asked) {
         /** No requests in flight and no recent outcomes. */
         public static final Load NONE = new Load(0, 0, 0, 0, 0);
 
+        /**
+         * Creates the load of a worker that is not brittle.
+         *
+         * @param inFlight number of requests without a complete response
+         * @param interactive number of those requests whose streams need short gaps between events
+         * @param prefillMillis estimated time in milliseconds to process the prompts that have no first event yet
+         * @param succeeded number of recent successes, exponentially decayed
+         * @param failed number of recent failures, exponentially decayed
+         */
+        public Load(int inFlight, int interactive, double prefillMillis, double succeeded, double failed) {
+            this(inFlight, interactive, prefillMillis, succeeded, failed, 0);
+        }
+
         Load plus(Load other) {
             return new Load(
                     inFlight + other.inFlight,
                     interactive + other.interactive,
                     prefillMillis + other.prefillMillis,
                     succeeded + other.succeeded,
-                    failed + other.failed);
+                    failed + other.failed,
+                    asked + other.asked);
         }
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Placement.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.gateway.workers;
 
 import org.dotterelcourse.policy.performance.StreamGaps;
+import org.dotterelcourse.policy.rate.SlotLedger;
 
 /**
  * One request at one worker, counted in the worker's load until it ends. Repeated calls of {@link #markSuspect}, {@link
@@ -33,6 +34,9 @@
     private boolean ended;
     private boolean suspect;
     private boolean atPeer;
+    private boolean asking;
+    private SlotGrant slot;
+    private SlotLedger.End slotEnd = SlotLedger.End.UNSEEN;
 
     Placement(WorkerState worker, boolean interactive, double prefillMillis, long nowNanos) {
         this.worker = worker;
@@ -148,9 +152,38 @@
         worker.timings().recordSteps(sample, 1 / (1 + STEP_GROWTH_PER_STREAM * otherStreams), nowNanos);
     }
 
+    /** Records that a slot of the worker, which is brittle, is asked for. */
+    public void beginAsking() {
+        if (!asking) {
+            asking = true;
+            worker.beginAsking();
+        }
+    }
+
+    /**
+     * Sets the slot of a brittle worker that this request has. It is released at the end of the request.
+     *
+     * @param granted the slot
+     */
+    public void useSlot(SlotGrant granted) {
+        slot = granted;
+    }
+
+    /** Removes a request from the worker's load that is certainly not at the worker any more. */
+    public void endGone() {
+        slotEnd = slotEnd == SlotLedger.End.UNSEEN ? SlotLedger.End.GONE : slotEnd;
+        end();
+    }
+
     /** Removes the request from the worker's load. */
     public void end() {
         if (!ended) {
+            if (slot != null) {
+                slot.release(slotEnd);
+            }
+            if (asking) {
+                worker.endAsking();
+            }
             recordFirstEvent();
             ended = true;
             worker.endRequest(interactive);
@@ -166,11 +199,17 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordSuccess(long nowNanos) {
+        recordAnswer();
         worker.coldStart().recordCompletion(sentNanos);
         worker.localSuspicion().recordSuccess(nowNanos);
         worker.outcomes().recordSuccess(nowNanos);
     }
 
+    private void recordAnswer() {
+        slotEnd = SlotLedger.End.ANSWERED;
+        worker.recordAnswer();
+    }
+
     /**
      * Records that no connection to the worker could be made.
      *
@@ -188,6 +227,7 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordErrorResponse(long nowNanos) {
+        recordAnswer();
         worker.localSuspicion().recordErrorResponse(nowNanos);
         worker.outcomes().recordFailure(nowNanos);
     }
@@ -199,7 +239,7 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordRejection(long nowNanos) {
-        worker.recordFull(nowNanos);
+        slotEnd = SlotLedger.End.REJECTED;
         worker.localSuspicion().recordFailure(nowNanos);
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/RateShareHolders.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/RateShareHolders.java
@@ -24,12 +24,20 @@
      */
     private static final long DISCOVERY_NANOS = 2_000_000_000L;
 
+    /**
+     * How long processes that are no longer members count for the part of a worker that this process may use: a process that
+     * has lost its links to most others can't tell whether they still use the worker.
+     */
+    private static final long LOST_NANOS = 30_000_000_000L;
+
     private final Map<String, Integer> ranks = new HashMap<>();
     private List<String> others = List.of();
     private String self = "";
     private int stableSize;
     private long discoveryEndNanos;
     private boolean membersReceived;
+    private int largestSize = 1;
+    private long largestNanos;
 
     /**
      * Updates the members of the fleet.
@@ -48,6 +56,10 @@
             stableSize = processes();
         }
         stableSize = Math.min(stableSize, processes());
+        if (processes() >= largestSize || nowNanos - largestNanos > LOST_NANOS) {
+            largestSize = processes();
+            largestNanos = nowNanos;
+        }
     }
 
     /** Returns the number of processes in the fleet, this one included. */
@@ -55,11 +67,19 @@
         return others.size() + 1;
     }
 
+    /** Returns whether this process still discovers the members of the fleet. */
+    boolean isDiscovering(long nowNanos) {
+        return !membersReceived || nowNanos - discoveryEndNanos < 0;
+    }
+
+    /** Returns the largest number of processes in the fleet lately, this one included. */
+    int recentProcesses(long nowNanos) {
+        return nowNanos - largestNanos > LOST_NANOS ? processes() : Math.max(largestSize, processes());
+    }
+
     /** Returns whether this process is among the first {@code holders} processes in the ranking for a worker. */
     boolean includesSelf(String worker, int holders, long nowNanos) {
-        return membersReceived
-                && nowNanos - discoveryEndNanos >= 0
-                && ranks.computeIfAbsent(worker, this::rank) < holders;
+        return !isDiscovering(nowNanos) && ranks.computeIfAbsent(worker, this::rank) < holders;
     }
 
     private int rank(String worker) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/SendPermissions.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/SendPermissions.java
@@ -1,7 +1,6 @@
 package org.dotterelcourse.gateway.workers;
 
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -13,12 +12,17 @@
 
 /** Determines whether this process may send a worker a request now, by what workers have stated and by cold starts. */
 final class SendPermissions {
-    private final RateShareHolders rateShareHolders = new RateShareHolders();
+    private final RateShareHolders rateShareHolders;
     private final WorkerLimits limits = new WorkerLimits();
-    private final WorkerLimits brittleness = new WorkerLimits();
+    private final BrittleWorkers brittle;
     private final WorkerBackoffs backoffs = new WorkerBackoffs();
     private Function<String, ColdStart> coldStartByUpstream = upstream -> ColdStart.none();
 
+    SendPermissions(RateShareHolders rateShareHolders, BrittleWorkers brittle) {
+        this.rateShareHolders = rateShareHolders;
+        this.brittle = brittle;
+    }
+
     /** Sets the limits of cold workers by the name of the upstream. */
     void configureUpstreams(Function<String, ColdStart> coldStart) {
         coldStartByUpstream = coldStart;
@@ -37,7 +41,7 @@
     /** Removes what a worker that is no longer published has stated. */
     void remove(int incarnation) {
         limits.remove(incarnation);
-        brittleness.remove(incarnation);
+        brittle.statements().remove(incarnation);
     }
 
     /** Returns the limits of cold workers of an upstream. */
@@ -50,8 +54,7 @@
         if (backoffs.remainingMillis(worker.incarnation(), nowNanos) > 0) {
             return SendPermission.BACKING_OFF;
         }
-        OptionalDouble rejections = brittleness.limit(worker.incarnation());
-        if (rejections.isPresent() && !worker.hasRoom(rejections.getAsDouble(), rateShareHolders, nowNanos)) {
+        if (brittle.maxRejections(worker, nowNanos).isPresent() && !brittle.mayAsk(worker, nowNanos)) {
             return SendPermission.DENIED;
         }
         return worker.sendPermission(coldStart, limits.limit(worker.incarnation()), rateShareHolders, nowNanos);
@@ -73,10 +76,6 @@
         return limits;
     }
 
-    WorkerLimits brittleness() {
-        return brittleness;
-    }
-
     WorkerBackoffs backoffs() {
         return backoffs;
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerState.java
@@ -6,7 +6,6 @@
 import org.dotterelcourse.policy.cold.ColdStartTracker;
 import org.dotterelcourse.policy.performance.TimingRecorder;
 import org.dotterelcourse.policy.performance.WorkerPerformance;
-import org.dotterelcourse.policy.rate.BrittleWorkerAdmission;
 import org.dotterelcourse.policy.rate.RateShare;
 import org.dotterelcourse.policy.rate.SlidingWindowLog;
 import org.dotterelcourse.policy.repeat.LocalSuspicion;
@@ -35,7 +34,6 @@
     private final ColdStartTracker coldStart = new ColdStartTracker();
     private final TimingRecorder timings = new TimingRecorder();
     private final SlidingWindowLog requestLog = new SlidingWindowLog();
-    private final BrittleWorkerAdmission brittleAdmission = new BrittleWorkerAdmission();
     private final int incarnation;
     private final long sequence;
     private WorkerEntry entry;
@@ -46,6 +44,10 @@
     private double prefillMillis;
     private PeerLoads.Load peerLoad = PeerLoads.Load.NONE;
     private boolean isSlow;
+    private boolean answered;
+    private int asked;
+    private long heldOffUntilNanos;
+    private boolean isHeldOff;
     private WorkerPerformance performance = WorkerPerformance.NOMINAL;
 
     /**
@@ -171,7 +173,21 @@
                 interactive,
                 prefillMillis,
                 outcomes.recentSuccesses(nowNanos),
-                outcomes.recentFailures(nowNanos));
+                outcomes.recentFailures(nowNanos),
+                asked);
+    }
+
+    /** Returns the number of requests in flight, of all processes, for which no slot was asked for. */
+    int unaccountedInFlight() {
+        return Math.max(0, inFlight - asked) + Math.max(0, peerLoad.inFlight() - peerLoad.asked());
+    }
+
+    void beginAsking() {
+        asked++;
+    }
+
+    void endAsking() {
+        asked--;
     }
 
     ColdStartTracker coldStart() {
@@ -191,21 +207,24 @@
         return allowed ? SendPermission.RATE_LIMITED : SendPermission.DENIED;
     }
 
-    /** Returns whether this process may send a request to this worker, which is brittle. */
-    boolean hasRoom(double maxRejections, RateShareHolders holders, long nowNanos) {
-        double perSecond = RecentOutcomes.perSecond(outcomes.recentSuccesses(nowNanos) + peerLoad.succeeded());
-        return brittleAdmission.allows(
-                entry.slots(),
-                maxRejections,
-                new BrittleWorkerAdmission.Load(inFlight, totalInFlight(), perSecond),
-                holders.processes(),
-                count -> holders.includesSelf(entry.id(), count, nowNanos),
-                nowNanos);
+    /** Returns whether the worker has answered a request of this process or, as far as they have reported, of a peer. */
+    boolean hasAnswered() {
+        return answered || peerLoad.succeeded() > 0;
+    }
+
+    void recordAnswer() {
+        answered = true;
+    }
+
+    /** Sends the worker nothing for a time, because it has no room. */
+    void holdOff(long nanos, long nowNanos) {
+        isHeldOff = true;
+        heldOffUntilNanos = nowNanos + nanos;
     }
 
-    /** Records that the worker had no room for a request, which is still counted as in flight. */
-    void recordFull(long nowNanos) {
-        brittleAdmission.recordFull(totalInFlight() - 1, nowNanos);
+    boolean isHeldOff(long nowNanos) {
+        isHeldOff = isHeldOff && nowNanos - heldOffUntilNanos < 0;
+        return isHeldOff;
     }
 
     private boolean allows(RateShare share, RateShareHolders holders, long nowNanos) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/Workers.java
@@ -34,7 +34,9 @@
     private final Map<Integer, WorkerState> byIncarnation = new HashMap<>();
     private final LoadSums loadSums = new LoadSums(byId.values());
     private final Set<String> evacuated = new HashSet<>();
-    private final SendPermissions permissions = new SendPermissions();
+    private final RateShareHolders rateShareHolders = new RateShareHolders();
+    private final BrittleWorkers brittle = new BrittleWorkers(rateShareHolders, byId, loadSums);
+    private final SendPermissions permissions = new SendPermissions(rateShareHolders, brittle);
     private final LeavingWorkers leavingWorkers = new LeavingWorkers(byIncarnation::containsKey);
     private final SelectionCounters counters = new SelectionCounters();
     private final WorkerIndex index = new WorkerIndex(byId.values(), this::isEligible, counters);
@@ -258,12 +260,12 @@
     }
 
     /**
-     * Returns how many rejections per second for want of room brittle workers bear.
+     * Returns the workers that crash when they have to reject too many requests.
      *
-     * @return the statements of the workers of all upstreams
+     * @return the brittle workers of all upstreams
      */
-    public WorkerLimits brittleness() {
-        return permissions.brittleness();
+    public BrittleWorkers brittle() {
+        return brittle;
     }
 
     /**
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/WorkerLimits.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/rate/WorkerLimits.java
@@ -115,6 +115,16 @@
         return current == null ? OptionalDouble.empty() : current.perSecond();
     }
 
+    /**
+     * Returns whether there is a statement of a worker, which may be that it sets no limit any more.
+     *
+     * @param worker the worker's incarnation
+     * @return false if the worker has never set a limit
+     */
+    public boolean isKnown(int worker) {
+        return statements.containsKey(worker);
+    }
+
     /**
      * Returns the age of the latest statement about a worker.
      *
