A worker without an answer is taken for brittle while others of its upstream are

Cause: a worker that fell over is back under a new id, and what its predecessor stated was kept by worker. Until its first answer each router took it for sound, and for the least loaded one.

A worker's own answers go first, so where only some workers say that they are brittle, only these and unknown ones are treated so, the latter until their first answer. It ends with the statement of the last brittle worker of the upstream.

Ruled out: taking all workers of the upstream for brittle, which would slow down sound ones; keeping the statement by address, as addresses are given to workers of other services.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/WorkerStatements.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/WorkerStatements.java
@@ -45,7 +45,12 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     public void recordBrittleness(WorkerEntry worker, OptionalDouble rejectionsPerSecond, long nowNanos) {
+        boolean wasBrittle =
+                workers.brittle().statements().limit(worker.incarnation()).isPresent();
         update(workers.brittle().statements(), AuditEvent.Kind.BRITTLE, worker, rejectionsPerSecond, nowNanos);
+        if (wasBrittle || rejectionsPerSecond.isPresent()) {
+            workers.brittle().recordUpstream(worker.upstream(), rejectionsPerSecond, nowNanos);
+        }
     }
 
     private void update(
@@ -104,6 +109,12 @@
      */
     public void applyBrittlenessNotice(LimitNotice notice, String peer, long nowNanos) {
         apply(workers.brittle().statements(), AuditEvent.Kind.BRITTLE, notice, peer, nowNanos);
+        workers.findByIncarnation(notice.worker())
+                .ifPresent(worker -> workers.brittle()
+                        .recordUpstream(
+                                worker.entry().upstream(),
+                                workers.brittle().statements().limit(notice.worker()),
+                                nowNanos));
     }
 
     private void apply(WorkerLimits limits, AuditEvent.Kind kind, LimitNotice notice, String peer, long nowNanos) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/BrittleWorkers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/BrittleWorkers.java
@@ -5,11 +5,13 @@
 import java.util.concurrent.TimeUnit;
 
 import org.dotterelcourse.policy.rate.SlotLedger;
+import org.dotterelcourse.policy.rate.UpstreamStatements;
 import org.dotterelcourse.policy.rate.WorkerLimits;
 
 /**
  * Which workers are brittle, that is, crash when they have to reject more than a few requests a second, and which part of
- * their slots this process may grant. Not thread-safe; used on the gateway's event loop only.
+ * their slots this process may grant. A worker that has not answered yet is taken for brittle while others of its upstream
+ * are: it may be the successor of one that crashed. Not thread-safe; used on the gateway's event loop only.
  */
 public final class BrittleWorkers {
     /** Rejections that a worker bears whose statement this process has not heard of. */
@@ -21,6 +23,7 @@
     private final Map<String, WorkerState> byId;
     private final LoadSums loadSums;
     private final WorkerLimits statements = new WorkerLimits();
+    private final UpstreamStatements byUpstream = new UpstreamStatements();
 
     BrittleWorkers(RateShareHolders holders, Map<String, WorkerState> byId, LoadSums loadSums) {
         this.holders = holders;
@@ -37,6 +40,23 @@
         return statements;
     }
 
+    /**
+     * Applies the current statement of a worker to workers of its upstream that have not answered yet.
+     *
+     * @param upstream name of the worker's upstream
+     * @param rejectionsPerSecond rejections per second that the worker bears; empty if it is no longer brittle
+     * @param nowNanos current monotonic time in nanoseconds
+     */
+    public void recordUpstream(String upstream, OptionalDouble rejectionsPerSecond, long nowNanos) {
+        if (rejectionsPerSecond.isPresent()) {
+            byUpstream.record(upstream, rejectionsPerSecond.getAsDouble(), nowNanos);
+        } else if (byId.values().stream()
+                .filter(worker -> worker.entry().upstream().equals(upstream))
+                .noneMatch(worker -> statements.limit(worker.incarnation()).isPresent())) {
+            byUpstream.remove(upstream);
+        }
+    }
+
     /**
      * Returns whether a worker is brittle, by its own statement or, before its first answer, by those of its upstream.
      *
@@ -62,7 +82,12 @@
     }
 
     OptionalDouble maxRejections(WorkerState worker, long nowNanos) {
-        return statements.limit(worker.incarnation());
+        if (statements.isKnown(worker.incarnation())) {
+            return statements.limit(worker.incarnation());
+        }
+        return worker.hasAnswered()
+                ? OptionalDouble.empty()
+                : byUpstream.value(worker.entry().upstream(), nowNanos);
     }
 
     /** Returns whether this process may ask for a slot of a brittle worker now. */
