The memory of a fleet's size starts when processes are lost, not when they were first seen

A router that lost most of its peers after more than 30 s of calm forgot at once how many there had been, and would have granted all slots of brittle workers beside the others' owner. Found when the test was read again; it failed with the loss at 100 s.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/RateShareHolders.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/RateShareHolders.java
@@ -47,6 +47,9 @@
      * @param nowNanos current monotonic time in nanoseconds
      */
     void updateFleet(String ownName, List<String> otherNames, long nowNanos) {
+        if (processes() >= largestSize) {
+            largestNanos = nowNanos;
+        }
         self = ownName;
         others = List.copyOf(otherNames);
         ranks.clear();
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/BrittleWorkersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/workers/BrittleWorkersTest.java
@@ -63,10 +63,9 @@
         add("a", "llm");
         workers.updateFleet("p0", names(12, "p0"), 0);
         assertThat(workers.brittle().slotBounds("a", 10 * SECOND).slots()).isEqualTo(SLOTS);
-        workers.updateFleet("p0", names(4, "p0"), 10 * SECOND);
-        assertThat(workers.brittle().slotBounds("a", 11 * SECOND).slots()).isEqualTo(SLOTS * 4 / 12);
-        workers.updateFleet("p0", names(4, "p0"), 60 * SECOND);
-        assertThat(workers.brittle().slotBounds("a", 61 * SECOND).slots()).isEqualTo(SLOTS);
+        workers.updateFleet("p0", names(4, "p0"), 100 * SECOND);
+        assertThat(workers.brittle().slotBounds("a", 101 * SECOND).slots()).isEqualTo(SLOTS * 4 / 12);
+        assertThat(workers.brittle().slotBounds("a", 140 * SECOND).slots()).isEqualTo(SLOTS);
     }
 
     @Test
