Bytes that are no answer may come without end: bounded memory, the connection closed, another attempt

What callers saw: nothing yet; a new term. A worker that sends a body or one event without end took memory until the request's deadline, at 64 MB a second 4 s of it in the test.

Cause: bodies that are collected (plain calls, answers of peers that are no response of a worker, answers of the store) and incomplete events had no limit. Status lines, headers, chunk sizes and trailers had one, in the HTTP codec; the frames of the peers' transport too.

Ruled out: a limit on streams as a whole, which may be long; their time is bounded by the deadline.

That a peer's answer is bounded follows from the same code; it has no test of its own.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventFramer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventFramer.java
@@ -13,6 +13,9 @@
  * worker that resumes the stream.
  */
 final class EventFramer {
+    /** Limits the memory that a worker can take which sends an event without end. */
+    static final int MAX_EVENT_BYTES = 1 << 20;
+
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream(0);
@@ -59,6 +62,15 @@
         return events;
     }
 
+    /**
+     * Returns whether the incomplete event exceeds the limit.
+     *
+     * @return true if the stream must be given up
+     */
+    boolean isTooLong() {
+        return pending.size() > MAX_EVENT_BYTES;
+    }
+
     /**
      * Returns whether the stream is between two events.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
@@ -68,6 +68,14 @@
             }
             listener.onPacket();
             List<EventFramer.Event> events = framer.append(packet);
+            if (framer.isTooLong()) {
+                upstream().cancel();
+                onError(new WorkerConnectionException(
+                        true,
+                        new IllegalStateException(
+                                "event exceeds the limit of " + EventFramer.MAX_EVENT_BYTES + " bytes")));
+                return;
+            }
             if (events.isEmpty()) {
                 upstream().request(1);
                 return;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayClient.java
@@ -109,7 +109,7 @@
         RelayResult result = outcome.equals(RelayHeaders.NOT_EXECUTED)
                 ? new RelayResult.NotExecuted(reason, sends > 0, retryAfterMillis)
                 : new RelayResult.Unknown(outcome.isEmpty() ? "answer has no outcome" : reason);
-        return response.body().then(Mono.just(result));
+        return BufferedResponse.collect(response).thenReturn(result);
     }
 
     private static long number(HttpHeaders headers, String name) {
