Streams resumed after the loss of all routers: the version is proven by what workers keep, never guessed

Callers got a text of two versions where they did not name the stream and routers had seen one version since their start, and 503 in all other cases: every proof of a stream's version lived in routers.

Cause: ClientResumption took the only version seen since the start for that of all streams (without Resumes), and knew no proof that outlives the routers (with it).

Change: the part of a prompt that belongs to one request alone is read by the worker that begins its stream, which keeps it. When a resumed stream is known to nobody, the routers divide the upstream's workers among them, read which parts each keeps, and go on at the version whose workers alone keep the stream's part; at several versions, or at none, the request is rejected as before. The observation of versions begins anew before each conclusion, also the first one after a pause of the process.

Ruled out: runs in the workers' reports (they end when the router's connections do), the store's history (its revisions have no times, and it reaches back 20 s of a stream's 30 s), asking each worker from each router (a list call delays the worker's work).

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -19,7 +19,9 @@
 import org.dotterelcourse.policy.quarantine.CrashNotice;
 import org.dotterelcourse.policy.quarantine.RequestQuarantine;
 import org.dotterelcourse.policy.repeat.WindowedRetryBudget;
+import org.dotterelcourse.policy.resumption.PartVersionLog;
 import org.dotterelcourse.policy.resumption.StreamVersionLog;
+import org.dotterelcourse.policy.resumption.VersionHistory;
 import org.dotterelcourse.policy.selection.CachedPrefixes;
 import org.dotterelcourse.policy.selection.EngineModel;
 import org.dotterelcourse.policy.selection.EnginePartition;
@@ -47,6 +49,7 @@
     private final WorkerTimings timings = new WorkerTimings(workers);
     private final WorkerStatements statements = new WorkerStatements(workers);
     private final StreamVersionLog streamVersions = new StreamVersionLog();
+    private final PartVersionLog partVersions = new PartVersionLog();
     private final RetryLimit retryLimit;
     private AuditTrail audit;
     private volatile RoutingTable table;
@@ -187,6 +190,29 @@
         return streamVersions;
     }
 
+    /**
+     * Returns which software versions keep which parts of prompts.
+     *
+     * @return what this process and peers have read from workers
+     */
+    public PartVersionLog partVersions() {
+        return partVersions;
+    }
+
+    /**
+     * Returns the software versions of which workers were published. Observes them before, so that nothing is concluded from
+     * a time in which this process was paused or did not know the workers.
+     *
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return the versions of all upstreams
+     */
+    public VersionHistory versionHistory(long nowNanos) {
+        if (isReady()) {
+            workers.versionHistory().observe(nowNanos);
+        }
+        return workers.versionHistory();
+    }
+
     /**
      * Returns whether this process can serve requests. May be called on any thread.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -6,20 +6,17 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
-import org.dotterelcourse.coordination.collect.CollectorPlan;
 import org.dotterelcourse.coordination.membership.Member;
-import org.dotterelcourse.coordination.membership.MemberState;
-import org.dotterelcourse.coordination.ownership.Rendezvous;
 import org.dotterelcourse.coordination.transport.PeerMessage;
 import org.dotterelcourse.coordination.transport.PeerTransport;
 import org.dotterelcourse.daemon.kernel.Kernel;
@@ -31,10 +28,12 @@
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.forward.Forwarder;
+import org.dotterelcourse.gateway.forward.KeptPartReader;
 import org.dotterelcourse.gateway.forward.StreamVersionPeers;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.policy.resumption.StreamKey;
 import org.dotterelcourse.policy.resumption.StreamVersionNotice;
+import org.dotterelcourse.policy.resumption.StreamVersionProof;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -56,9 +55,6 @@
     /** Time in which notices are collected for one message. Engines need longer until the first event of a stream. */
     private static final long COLLECT_MILLIS = 20;
 
-    /** Peers that keep the version of a stream in a fleet that is too large for all of them to keep it. */
-    private static final int KEEPERS = 3;
-
     /** Notices in one message, which then fits into a datagram. */
     private static final int MAX_NOTICES = 64;
 
@@ -70,9 +66,6 @@
 
     private static final long TICK_MILLIS = 250;
 
-    /** A tick that is later than this shows that the process was paused and has missed notices and entries. */
-    private static final long MAX_PAUSE_NANOS = 1_000_000_000L;
-
     /** Streams of an upstream of one version for which notices are kept, in case another version appears. */
     private static final int MAX_DEFERRED = 4_096;
 
@@ -81,27 +74,54 @@
     private List<StreamVersionNotice> unsent = new ArrayList<>();
     private GatewayLoop loop;
     private GatewayState state;
+    private final KeptPartReader reader;
     private Peers peers;
     private PeerTransport transport;
-    private Counter sentBytes;
+    private VersionKeepers keepers;
+    private PartSurvey survey;
     private long lastQuery;
-    private long lastTickNanos;
 
     /** A notice that no peer needs while its upstream has a single version, with the time of the stream. */
     private record Deferred(StreamVersionNotice notice, long atNanos) {}
 
     /** A query with the peers that have not answered, and what the others have said. */
     private static final class Query {
-        private final MonoSink<Optional<String>> sink;
+        private final MonoSink<Optional<StreamVersionProof>> sink;
         private final FleetProtos.StreamVersionQuery message;
         private final Map<String, Member> unanswered = new LinkedHashMap<>();
         private final Set<String> onlyVersions = new HashSet<>();
+        private final Set<String> partVersions = new HashSet<>();
 
-        private Query(MonoSink<Optional<String>> sink, FleetProtos.StreamVersionQuery message, List<Member> asked) {
+        private Query(
+                MonoSink<Optional<StreamVersionProof>> sink,
+                FleetProtos.StreamVersionQuery message,
+                List<Member> asked) {
             this.sink = sink;
             this.message = message;
             asked.forEach(peer -> unanswered.put(peer.name(), peer));
         }
+
+        /** Returns what the answers prove together; versions on which they don't agree prove nothing. */
+        private Optional<StreamVersionProof> proof() {
+            if (onlyVersions.size() == 1) {
+                return Optional.of(
+                        new StreamVersionProof(onlyVersions.iterator().next(), StreamVersionProof.Kind.ONLY_VERSION));
+            }
+            return partVersions.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(new StreamVersionProof(
+                            partVersions.size() == 1 ? partVersions.iterator().next() : "",
+                            StreamVersionProof.Kind.KEPT_PART));
+        }
+    }
+
+    /**
+     * Creates the service.
+     *
+     * @param reader reads which parts of prompts a worker keeps
+     */
+    public StreamVersionExchange(KeptPartReader reader) {
+        this.reader = reader;
     }
 
     @Override
@@ -121,11 +141,15 @@
         peers = kernel.find(Peers.NAME);
         transport = peers.transport();
         MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
-        sentBytes = metrics.counter("gateway.resumption.sent-bytes");
+        keepers = new VersionKeepers(peers, metrics.counter("gateway.resumption.sent-bytes"));
+        survey = new PartSurvey(loop, state, keepers, reader, metrics.counter("gateway.resumption.worker-reads"));
         metrics.gauge("gateway.resumption.streams", () -> (Gauge<Integer>) state.streamVersions()::size);
+        metrics.gauge("gateway.resumption.parts", () -> (Gauge<Integer>) state.partVersions()::size);
         register(NOTICES, this::receiveNotices);
         register(QUERIES, this::receiveQuery);
         register(ANSWERS, this::receiveAnswer);
+        register(PartSurvey.REQUESTS, (peer, body) -> survey.receiveRequest(body));
+        register(PartSurvey.RESULTS, (peer, body) -> survey.receiveResults(body));
         loop.execute(this::tick);
         kernel.find(Forwarder.NAME).resumeThrough(this);
         return List.of();
@@ -156,25 +180,17 @@
         // The timer ends with the event loop.
     }
 
-    /** Removes old records, and sends notices of upstreams that have several versions now. */
+    /** Removes old records, sends notices of upstreams that have several versions now. */
     private void tick() {
-        observe();
-        state.streamVersions().removeBefore(loop.nowNanos() - state.streamLifetimeNanos());
+        long nowNanos = loop.nowNanos();
+        long lifetimeNanos = state.streamLifetimeNanos();
+        state.versionHistory(nowNanos);
+        state.streamVersions().removeBefore(nowNanos - lifetimeNanos);
+        state.partVersions().removeBefore(nowNanos - lifetimeNanos);
         deferred.keySet().forEach(this::sendDeferred);
         loop.runAfter(TICK_MILLIS, this::tick);
     }
 
-    /** Begins the observation of versions, anew after a pause of the process. */
-    private void observe() {
-        long nowNanos = loop.nowNanos();
-        if (state.isReady()) {
-            if (lastTickNanos == 0 || nowNanos - lastTickNanos > MAX_PAUSE_NANOS) {
-                state.workers().versionHistory().beginObservation(nowNanos);
-            }
-            lastTickNanos = nowNanos;
-        }
-    }
-
     @Override
     public void announce(String upstream, StreamVersionNotice notice) {
         deferred.computeIfAbsent(upstream, name -> new ArrayDeque<>()).addLast(new Deferred(notice, loop.nowNanos()));
@@ -191,7 +207,7 @@
                         || nowNanos - notices.peekFirst().atNanos() > lifetimeNanos)) {
             notices.removeFirst();
         }
-        if (state.workers().versionHistory().isAmbiguous(upstream, lifetimeNanos, nowNanos)) {
+        if (state.versionHistory(nowNanos).isAmbiguous(upstream, lifetimeNanos, nowNanos)) {
             notices.forEach(each -> enqueue(each.notice()));
             notices.clear();
         }
@@ -207,67 +223,54 @@
     }
 
     private void sendNotices() {
-        Map<Member, List<StreamVersionNotice>> byReceiver = new LinkedHashMap<>();
-        for (StreamVersionNotice notice : unsent) {
-            keepers(notice.stream())
-                    .forEach(keeper -> byReceiver
-                            .computeIfAbsent(keeper, member -> new ArrayList<>())
-                            .add(notice));
-        }
+        Map<Member, List<StreamVersionNotice>> byReceiver = keepers.group(unsent, StreamVersionNotice::stream);
         unsent = new ArrayList<>();
         byReceiver.forEach((keeper, notices) ->
-                send(keeper, NOTICES, StreamVersionCodec.encode(notices).toByteArray()));
+                keepers.send(keeper, NOTICES, StreamVersionCodec.encode(notices).toByteArray()));
     }
 
-    private void send(Member member, String channel, byte[] body) {
-        sentBytes.inc(body.length);
-        FleetMessages.send(transport, member, channel, body);
+    @Override
+    public boolean surveyParts(String upstream) {
+        return survey.begin(upstream);
     }
 
-    /** Returns the peers that keep the version of a stream. */
-    private List<Member> keepers(StreamKey stream) {
-        List<Member> others = peers.view().stream()
-                .filter(member -> !member.name().equals(peers.self()) && member.state() == MemberState.ALIVE)
-                .toList();
-        if (others.size() < CollectorPlan.MAX_DIRECT_PROCESSES) {
-            return others;
-        }
-        Map<String, Member> byName = new HashMap<>();
-        others.forEach(member -> byName.put(member.name(), member));
-        return Rendezvous.order(Long.toHexString(stream.value()), byName.keySet()).stream()
-                .limit(KEEPERS)
-                .map(byName::get)
-                .toList();
+    @Override
+    public Mono<Optional<StreamVersionProof>> ask(StreamKey stream, StreamKey part, String upstream) {
+        Set<Member> asked = new LinkedHashSet<>(keepers.of(stream));
+        asked.addAll(keepers.of(part));
+        return ask(stream, part, upstream, List.copyOf(asked));
     }
 
-    @Override
-    public Mono<Optional<String>> ask(StreamKey stream, String upstream) {
+    private Mono<Optional<StreamVersionProof>> ask(
+            StreamKey stream, StreamKey part, String upstream, List<Member> asked) {
         return Mono.create(sink -> {
-            observe();
-            List<Member> asked = keepers(stream);
-            if (asked.isEmpty()) {
-                sink.success(Optional.empty());
-                return;
-            }
             long number = ++lastQuery;
             FleetProtos.StreamVersionQuery message = FleetProtos.StreamVersionQuery.newBuilder()
                     .setNumber(number)
                     .setStream(stream.value())
                     .setUpstream(upstream)
+                    .setPart(part.value())
                     .build();
-            queries.put(number, new Query(sink, message, asked));
+            Query query = new Query(sink, message, asked);
+            state.partVersions().find(part).ifPresent(query.partVersions::add);
+            if (asked.isEmpty()) {
+                sink.success(query.proof());
+                return;
+            }
+            queries.put(number, query);
             sink.onDispose(() -> queries.remove(number));
             sendQuery(number);
             loop.runAfter(REPEAT_MILLIS, () -> sendQuery(number));
-            loop.runAfter(ANSWER_TIMEOUT_MILLIS, () -> withQuery(number, this::end));
+            loop.runAfter(ANSWER_TIMEOUT_MILLIS, () -> withQuery(number, (key, each) -> end(each)));
         });
     }
 
     private void sendQuery(long number) {
         withQuery(
                 number,
-                (key, query) ->
-                        query.unanswered.values().forEach(peer -> send(peer, QUERIES, query.message.toByteArray())));
+                (key, query) -> query.unanswered
+                        .values()
+                        .forEach(peer -> keepers.send(peer, QUERIES, query.message.toByteArray())));
     }
 
     private void withQuery(long number, BiConsumer<Long, Query> action) {
@@ -277,18 +280,19 @@
         }
     }
 
-    /** Ends a query that no peer has a notice for: by the only version that all answers agree on, or with no result. */
-    private void end(long number, Query query) {
-        Optional<String> only =
-                query.onlyVersions.size() == 1 ? query.onlyVersions.stream().findFirst() : Optional.empty();
-        LOG.infof(
-                "no peer has a notice of stream %016x of %s, %d have not answered; %s",
-                query.message.getStream(),
-                query.message.getUpstream(),
-                query.unanswered.size(),
-                only.map(version -> "its version is " + version + ", the only one that has served")
-                        .orElse("the request is rejected"));
-        query.sink.success(only);
+    /** Ends a query that no peer has a notice for by what the answers prove together. */
+    private void end(Query query) {
+        Optional<StreamVersionProof> proof = query.proof();
+        if (query.message.getStream() != StreamKey.NONE.value()) {
+            LOG.infof(
+                    "no peer has a notice of stream %016x of %s, %d have not answered; %s",
+                    query.message.getStream(),
+                    query.message.getUpstream(),
+                    query.unanswered.size(),
+                    proof.map(each -> "its version is " + each.version() + ", by " + each.kind())
+                            .orElse("its version is not proven"));
+        }
+        query.sink.success(proof);
     }
 
     private void receiveNotices(String peer, byte[] body) throws InvalidProtocolBufferException {
@@ -298,20 +302,20 @@
     }
 
     private void receiveQuery(String peer, byte[] body) throws InvalidProtocolBufferException {
-        observe();
+        long nowNanos = loop.nowNanos();
         FleetProtos.StreamVersionQuery query = FleetProtos.StreamVersionQuery.parseFrom(body);
         FleetProtos.StreamVersionAnswer.Builder answer =
                 FleetProtos.StreamVersionAnswer.newBuilder().setNumber(query.getNumber());
         state.streamVersions()
                 .find(new StreamKey(query.getStream()))
                 .ifPresent(notice -> answer.setVersion(notice.version()));
-        state.workers()
-                .versionHistory()
-                .onlyVersion(query.getUpstream(), state.streamLifetimeNanos(), loop.nowNanos())
+        state.versionHistory(nowNanos)
+                .onlyVersion(query.getUpstream(), state.streamLifetimeNanos(), nowNanos)
                 .ifPresent(answer::setOnlyVersion);
+        state.partVersions().find(new StreamKey(query.getPart())).ifPresent(answer::setPartVersion);
         for (Member member : peers.view()) {
             if (member.name().equals(peer)) {
-                send(member, ANSWERS, answer.build().toByteArray());
+                keepers.send(member, ANSWERS, answer.build().toByteArray());
             }
         }
     }
@@ -323,14 +327,18 @@
                 return;
             }
             if (answer.hasVersion()) {
-                query.sink.success(Optional.of(answer.getVersion()));
+                query.sink.success(
+                        Optional.of(new StreamVersionProof(answer.getVersion(), StreamVersionProof.Kind.RECORD)));
                 return;
             }
             if (answer.hasOnlyVersion()) {
                 query.onlyVersions.add(answer.getOnlyVersion());
             }
+            if (answer.hasPartVersion()) {
+                query.partVersions.add(answer.getPartVersion());
+            }
             if (query.unanswered.isEmpty()) {
-                end(number, query);
+                end(query);
             }
         });
     }
--- /dev/null
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/VersionKeepers.java
@@ -0,0 +1,88 @@
+package org.dotterelcourse.gateway.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import com.codahale.metrics.Counter;
+import org.dotterelcourse.coordination.collect.CollectorPlan;
+import org.dotterelcourse.coordination.membership.Member;
+import org.dotterelcourse.coordination.membership.MemberState;
+import org.dotterelcourse.coordination.ownership.Rendezvous;
+import org.dotterelcourse.daemon.peers.Peers;
+import org.dotterelcourse.policy.resumption.StreamKey;
+
+/**
+ * The peers that keep what is known of software versions: all in a small fleet, in a larger one a few that all processes
+ * determine alike by rendezvous hashing.
+ */
+final class VersionKeepers {
+    /** Peers that keep a key in a fleet that is too large for all of them to keep it. */
+    private static final int KEEPERS = 3;
+
+    private final Peers peers;
+    private final Counter sentBytes;
+
+    VersionKeepers(Peers peers, Counter sentBytes) {
+        this.peers = peers;
+        this.sentBytes = sentBytes;
+    }
+
+    /** Returns the peers that are alive, without this process. */
+    List<Member> others() {
+        return peers.view().stream()
+                .filter(member -> !member.name().equals(peers.self()) && member.state() == MemberState.ALIVE)
+                .toList();
+    }
+
+    /** Returns whether all peers are asked about each key, so that no peer need be told anything in advance. */
+    boolean areAllAsked() {
+        return others().size() < CollectorPlan.MAX_DIRECT_PROCESSES;
+    }
+
+    /** Returns the peers that keep a key. */
+    List<Member> of(StreamKey key) {
+        List<Member> others = others();
+        if (others.size() < CollectorPlan.MAX_DIRECT_PROCESSES) {
+            return others;
+        }
+        Map<String, Member> byName = new HashMap<>();
+        others.forEach(member -> byName.put(member.name(), member));
+        return Rendezvous.order(Long.toHexString(key.value()), byName.keySet()).stream()
+                .limit(KEEPERS)
+                .map(byName::get)
+                .toList();
+    }
+
+    /** Groups values by the peers that keep their keys. */
+    <T> Map<Member, List<T>> group(Collection<T> values, Function<T, StreamKey> key) {
+        Map<Member, List<T>> groups = new LinkedHashMap<>();
+        for (T value : values) {
+            of(key.apply(value))
+                    .forEach(keeper -> groups.computeIfAbsent(keeper, member -> new ArrayList<>())
+                            .add(value));
+        }
+        return groups;
+    }
+
+    /** Returns the workers that this process reads, if each is read by one process. */
+    List<String> assigned(Collection<String> workers) {
+        List<String> names = others().stream().map(Member::name).toList();
+        return workers.stream()
+                .filter(worker -> names.stream()
+                        .noneMatch(other -> Long.compareUnsigned(
+                                        Rendezvous.weight(worker, other), Rendezvous.weight(worker, peers.self()))
+                                > 0))
+                .collect(Collectors.toList());
+    }
+
+    void send(Member member, String channel, byte[] body) {
+        sentBytes.inc(body.length);
+        FleetMessages.send(peers.transport(), member, channel, body);
+    }
+}
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
@@ -1,5 +1,9 @@
 package org.dotterelcourse.gateway.forward;
 
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 
 import com.codahale.metrics.Counter;
@@ -8,23 +12,38 @@
 import org.dotterelcourse.gateway.GatewayState;
 import org.dotterelcourse.policy.resumption.StreamKey;
 import org.dotterelcourse.policy.resumption.StreamVersionNotice;
-import org.dotterelcourse.policy.resumption.VersionHistory;
+import org.dotterelcourse.policy.resumption.StreamVersionProof;
+import org.dotterelcourse.policy.selection.Prompt;
+import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
 
 /**
  * Determines at which software version a stream goes on that a client resumes, possibly at another process than the one that
  * began it. Peers are told the version of a stream when its request goes to a worker, unless the upstream has had a single
- * version for longer than any stream lasts; then that is the version of all streams.
+ * version for longer than any stream lasts; then that is the version of all streams. After a loss of all processes, workers
+ * are asked which of them keep the stream's prompt. Without a proof, the request is rejected.
  */
 final class ClientResumption {
+    private static final Logger LOG = Logger.getLogger(ClientResumption.class);
+
     /** By then, answers of peers that were late have arrived, or another process is asked. */
     private static final long RETRY_AFTER_UNKNOWN_MILLIS = 500;
 
+    /** Time in which workers are read and the results reach those that are asked. */
+    private static final long SURVEY_MILLIS = 250;
+
+    /** Questions to peers after a survey has begun; a router that has just started first finds its peers. */
+    private static final int MAX_SURVEYED_ASKS = 4;
+
+    /** With less time, the client's next attempt has a better chance. */
+    private static final long MIN_REMAINING_MILLIS = 1_000;
+
     private final GatewayLoop loop;
     private final GatewayState state;
     private final Counter resumed;
     private final Counter asked;
     private final Counter unknown;
+    private final Map<StreamVersionProof.Kind, Counter> byProof = new EnumMap<>(StreamVersionProof.Kind.class);
     private StreamVersionPeers peers = StreamVersionPeers.NONE;
 
     ClientResumption(GatewayLoop loop, GatewayState state, MetricRegistry metrics) {
@@ -33,6 +52,12 @@
         this.resumed = metrics.counter("gateway.resumption.requests");
         this.asked = metrics.counter("gateway.resumption.asked");
         this.unknown = metrics.counter("gateway.resumption.unknown");
+        for (StreamVersionProof.Kind kind : StreamVersionProof.Kind.values()) {
+            byProof.put(
+                    kind,
+                    metrics.counter("gateway.resumption.by-"
+                            + kind.name().toLowerCase(Locale.ROOT).replace('_', '-')));
+        }
     }
 
     void setPeers(StreamVersionPeers value) {
@@ -66,46 +91,86 @@
             return Mono.just(Optional.empty());
         }
         resumed.inc();
-        return find(call, resumes.get()).map(version -> {
-            if (version.isEmpty() || version.get().isEmpty()) {
+        return find(call, resumes.get()).map(proof -> {
+            if (proof.isEmpty() || proof.get().version().isEmpty()) {
                 unknown.inc();
                 return Optional.of(new Reply.Local(
-                        LocalReply.notExecuted(reason(call, resumes.get(), version), RETRY_AFTER_UNKNOWN_MILLIS)));
+                        LocalReply.notExecuted(reason(call, resumes.get(), proof), RETRY_AFTER_UNKNOWN_MILLIS)));
+            }
+            byProof.get(proof.get().kind()).inc();
+            if (proof.get().kind() == StreamVersionProof.Kind.KEPT_PART) {
+                LOG.infof(
+                        "request %s goes on with a stream at version %s: only its workers keep the stream's prompt",
+                        call.attributes().id(), proof.get().version());
             }
-            call.requireVersion(version.get());
+            call.requireVersion(proof.get().version());
             return Optional.empty();
         });
     }
 
-    private Mono<Optional<String>> find(Call call, String resumedId) {
+    private Mono<Optional<StreamVersionProof>> find(Call call, String resumedId) {
         String upstream = call.attributes().upstream().name();
-        VersionHistory history = state.workers().versionHistory();
-        long nowNanos = loop.nowNanos();
-        long lifetimeNanos = state.streamLifetimeNanos();
-        if (resumedId.isEmpty()) {
-            // Clients that do not name the stream predate upstreams of several versions.
-            return Mono.just(history.onlySeenVersion(upstream, lifetimeNanos, nowNanos));
-        }
-        StreamKey stream = StreamKey.of(call.attributes().customer(), upstream, resumedId);
-        Optional<String> recorded = state.streamVersions().find(stream).map(StreamVersionNotice::version);
+        StreamKey stream = resumedId.isEmpty()
+                ? StreamKey.NONE
+                : StreamKey.of(call.attributes().customer(), upstream, resumedId);
+        Optional<StreamVersionProof> recorded = state.streamVersions()
+                .find(stream)
+                .map(notice -> new StreamVersionProof(notice.version(), StreamVersionProof.Kind.RECORD));
         if (recorded.isPresent()) {
             return Mono.just(recorded);
         }
-        Optional<String> only = history.onlyVersion(upstream, lifetimeNanos, nowNanos);
+        long nowNanos = loop.nowNanos();
+        Optional<StreamVersionProof> only = state.versionHistory(nowNanos)
+                .onlyVersion(upstream, state.streamLifetimeNanos(), nowNanos)
+                .map(version -> new StreamVersionProof(version, StreamVersionProof.Kind.ONLY_VERSION));
         if (only.isPresent()) {
             return Mono.just(only);
         }
         asked.inc();
-        return peers.ask(stream, upstream);
+        StreamKey part = ownPart(call, upstream);
+        return peers.ask(stream, part, upstream)
+                .flatMap(proof -> askAfterSurvey(call, new Question(stream, part, upstream), proof, MAX_SURVEYED_ASKS));
+    }
+
+    /** What is asked about a stream. */
+    private record Question(StreamKey stream, StreamKey part, String upstream) {}
+
+    /** Asks again while workers are read, unless there is a proof or too little time. */
+    private Mono<Optional<StreamVersionProof>> askAfterSurvey(
+            Call call, Question question, Optional<StreamVersionProof> proof, int left) {
+        if (proof.isPresent()
+                || question.part().equals(StreamKey.NONE)
+                || left == 0
+                || call.remainingMillis(loop.nowNanos()) < MIN_REMAINING_MILLIS
+                || !peers.surveyParts(question.upstream())) {
+            return Mono.just(proof);
+        }
+        return Mono.delay(Duration.ofMillis(SURVEY_MILLIS), loop.scheduler())
+                .then(Mono.defer(() -> peers.ask(question.stream(), question.part(), question.upstream())))
+                .flatMap(next -> askAfterSurvey(call, question, next, left - 1));
+    }
+
+    /** Returns the key of the part of the prompt that belongs to the request alone, or to its session. */
+    private static StreamKey ownPart(Call call, String upstream) {
+        return call.attributes()
+                .prompt()
+                .map(Prompt::parts)
+                .filter(parts -> !parts.isEmpty())
+                .map(parts ->
+                        StreamKey.ofPart(upstream, parts.get(parts.size() - 1).id()))
+                .orElse(StreamKey.NONE);
     }
 
-    private static String reason(Call call, String resumedId, Optional<String> version) {
-        if (resumedId.isEmpty()) {
-            return "the request resumes a stream without naming it, and workers of several software versions serve "
-                    + call.attributes().upstream().name();
+    private static String reason(Call call, String resumedId, Optional<StreamVersionProof> proof) {
+        if (proof.isPresent() && proof.get().kind() == StreamVersionProof.Kind.KEPT_PART) {
+            return "workers of several software versions keep the prompt of the resumed stream";
+        }
+        if (proof.isPresent()) {
+            return "the resumed stream began at a worker of unknown software version";
         }
-        return version.isPresent()
-                ? "the resumed stream began at a worker of unknown software version"
-                : "the software version of the resumed stream is not known here or to peers";
+        return resumedId.isEmpty()
+                ? "the request resumes a stream without naming it, and no worker's version is known to have begun it at "
+                        + call.attributes().upstream().name()
+                : "the software version of the resumed stream is not known here, to peers or by what workers keep";
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamVersionPeers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamVersionPeers.java
@@ -4,6 +4,7 @@
 
 import org.dotterelcourse.policy.resumption.StreamKey;
 import org.dotterelcourse.policy.resumption.StreamVersionNotice;
+import org.dotterelcourse.policy.resumption.StreamVersionProof;
 import reactor.core.publisher.Mono;
 
 /** The peers that remember the software versions of streams, for clients that resume a stream at another process. */
@@ -16,9 +17,14 @@
         }
 
         @Override
-        public Mono<Optional<String>> ask(StreamKey stream, String upstream) {
+        public Mono<Optional<StreamVersionProof>> ask(StreamKey stream, StreamKey part, String upstream) {
             return Mono.just(Optional.empty());
         }
+
+        @Override
+        public boolean surveyParts(String upstream) {
+            return false;
+        }
     };
 
     /**
@@ -32,9 +38,20 @@
     /**
      * Asks peers for the software version of a stream.
      *
-     * @param stream key of the stream
+     * @param stream key of the stream; {@link StreamKey#NONE} if the client does not name it
+     * @param part key of the part of the prompt that belongs to the stream's request alone; {@link StreamKey#NONE} if there
+     *     is none
      * @param upstream name of its upstream
-     * @return the version, empty if it is unknown; empty if no peer knows the stream in time
+     * @return the version and its proof; empty if nothing known to this process and its peers proves it
+     */
+    Mono<Optional<StreamVersionProof>> ask(StreamKey stream, StreamKey part, String upstream);
+
+    /**
+     * Lets all processes read which parts of prompts the workers of an upstream keep, each of them at a part of the workers.
+     * Begins nothing if that was done just before.
+     *
+     * @param upstream name of the upstream
+     * @return whether a survey is in progress, so that peers may soon know more
      */
-    Mono<Optional<String>> ask(StreamKey stream, String upstream);
+    boolean surveyParts(String upstream);
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerLinks.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/workers/WorkerLinks.java
@@ -46,6 +46,19 @@
         return workers.all().stream().mapToInt(worker -> worker.entry().slots()).sum();
     }
 
+    /**
+     * Returns the published workers of an upstream, those that are leaving included.
+     *
+     * @param upstream name of the upstream
+     * @return their entries
+     */
+    public List<WorkerEntry> published(String upstream) {
+        return workers.all().stream()
+                .map(WorkerState::entry)
+                .filter(entry -> entry.upstream().equals(upstream))
+                .toList();
+    }
+
     /**
      * Selects workers to probe, of different upstreams and data centres by chance.
      *
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/StreamKey.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/StreamKey.java
@@ -10,6 +10,9 @@
  * @param value the first 64 bits of the digest
  */
 public record StreamKey(long value) {
+    /** The key of no stream. */
+    public static final StreamKey NONE = new StreamKey(0);
+
     /**
      * Computes the key of a stream.
      *
@@ -22,4 +25,17 @@
         return new StreamKey(
                 new Digest().add(customer).add(upstream).add(requestId).value());
     }
+
+    /**
+     * Computes the key of a part of a prompt that belongs to one request alone. Workers keep parts under their ids whatever
+     * the customer is.
+     *
+     * @param upstream the name of the upstream whose workers keep the part
+     * @param part the id of the part
+     * @return the key, different from that of any stream
+     */
+    public static StreamKey ofPart(String upstream, String part) {
+        return new StreamKey(
+                new Digest().add("part").add(upstream).add(part).add("").value());
+    }
 }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
@@ -12,9 +12,13 @@
  * nothing need be exchanged about them.
  */
 public final class VersionHistory {
+    /** An observation that is later than this shows that the process was paused and may have missed changes. */
+    private static final long MAX_PAUSE_NANOS = 1_000_000_000L;
+
     private final Map<String, Map<String, Serving>> byUpstream = new HashMap<>();
     private boolean isObserving;
     private long observedSinceNanos;
+    private long observedNanos;
 
     /** The workers of one version: their current number, and when the last one was published if there is none. */
     private static final class Serving {
@@ -31,6 +35,20 @@
     public void beginObservation(long nowNanos) {
         isObserving = true;
         observedSinceNanos = nowNanos;
+        observedNanos = nowNanos;
+    }
+
+    /**
+     * Records that the published workers are known at this moment. Must be called before any conclusion, and several times a
+     * second: after a pause, the observation begins anew.
+     *
+     * @param nowNanos current monotonic time in nanoseconds
+     */
+    public void observe(long nowNanos) {
+        if (!isObserving || nowNanos - observedNanos > MAX_PAUSE_NANOS) {
+            beginObservation(nowNanos);
+        }
+        observedNanos = nowNanos;
     }
 
     /**
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/resumption/VersionHistoryTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/resumption/VersionHistoryTest.java
@@ -71,4 +71,17 @@
         assertThat(history.onlyVersion("u", LIFETIME, 100)).contains("v1");
         assertThat(history.onlyVersion("w", LIFETIME, 100)).contains("v2");
     }
+
+    // Guards against a conclusion from before a pause of the process, in which another version may have served.
+    @Test
+    void nothingIsConcludedAfterAPauseUntilTheLifetimeHasPassed() {
+        long second = 1_000_000_000L;
+        history.add("u", "v1");
+        for (long now = second; now <= 4 * second; now += second) {
+            history.observe(now);
+        }
+        assertThat(history.onlyVersion("u", 3 * second, 4 * second)).contains("v1");
+        history.observe(5 * second + 1);
+        assertThat(history.onlyVersion("u", 3 * second, 5 * second + 1)).isEmpty();
+    }
 }
