A router that restarts is told by its peers which software version has been the only one

Cause: a started router vouches for no version until it has observed for twice the longest time limit, even where peers have.

Change: while it has seen a single version for less than that, it asks peers once a second, three of a large fleet in turn, whether they have observed that version as the only one for long enough. Such a voucher together with its own observation since is as good as an own one. It ends with a second version and with a pause.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -34,6 +34,7 @@
 import org.dotterelcourse.policy.resumption.StreamKey;
 import org.dotterelcourse.policy.resumption.StreamVersionNotice;
 import org.dotterelcourse.policy.resumption.StreamVersionProof;
+import org.dotterelcourse.policy.resumption.VersionHistory;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -66,6 +67,9 @@
 
     private static final long TICK_MILLIS = 250;
 
+    /** Ticks between two questions to peers whether they vouch for the only version that this process has seen. */
+    private static final int VOUCHER_TICKS = 4;
+
     /** Streams of an upstream of one version for which notices are kept, in case another version appears. */
     private static final int MAX_DEFERRED = 4_096;
 
@@ -80,6 +84,7 @@
     private VersionKeepers keepers;
     private PartSurvey survey;
     private long lastQuery;
+    private int ticks;
 
     /** A notice that no peer needs while its upstream has a single version, with the time of the stream. */
     private record Deferred(StreamVersionNotice notice, long atNanos) {}
@@ -180,17 +185,29 @@
         // The timer ends with the event loop.
     }
 
-    /** Removes old records, sends notices of upstreams that have several versions now. */
+    /** Removes old records, sends notices of upstreams that have several versions now, and asks peers to vouch. */
     private void tick() {
         long nowNanos = loop.nowNanos();
         long lifetimeNanos = state.streamLifetimeNanos();
-        state.versionHistory(nowNanos);
+        VersionHistory history = state.versionHistory(nowNanos);
         state.streamVersions().removeBefore(nowNanos - lifetimeNanos);
         state.partVersions().removeBefore(nowNanos - lifetimeNanos);
         deferred.keySet().forEach(this::sendDeferred);
+        ticks++;
+        if (state.isReady() && ticks % VOUCHER_TICKS == 0) {
+            history.unprovenUpstreams(lifetimeNanos, nowNanos).forEach(this::askForVoucher);
+        }
         loop.runAfter(TICK_MILLIS, this::tick);
     }
 
+    /** Asks some peers, others each time, whether they have observed the only version of an upstream for long enough. */
+    private void askForVoucher(String upstream) {
+        List<Member> asked = keepers.of(StreamKey.ofPart(upstream, Integer.toString(ticks)));
+        ask(StreamKey.NONE, StreamKey.NONE, upstream, asked)
+                .subscribe(proof -> proof.ifPresent(
+                        each -> state.versionHistory(loop.nowNanos()).vouch(upstream, each.version())));
+    }
+
     @Override
     public void announce(String upstream, StreamVersionNotice notice) {
         deferred.computeIfAbsent(upstream, name -> new ArrayDeque<>()).addLast(new Deferred(notice, loop.nowNanos()));
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
@@ -16,6 +16,7 @@
     private static final long MAX_PAUSE_NANOS = 1_000_000_000L;
 
     private final Map<String, Map<String, Serving>> byUpstream = new HashMap<>();
+    private final Map<String, String> vouched = new HashMap<>();
     private boolean isObserving;
     private long observedSinceNanos;
     private long observedNanos;
@@ -36,6 +37,7 @@
         isObserving = true;
         observedSinceNanos = nowNanos;
         observedNanos = nowNanos;
+        vouched.clear();
     }
 
     /**
@@ -51,6 +53,32 @@
         observedNanos = nowNanos;
     }
 
+    /**
+     * Records that a process which has observed an upstream for longer than any stream lasts has seen a single version there.
+     * Together with what this process has observed since, that is as good as an observation of its own.
+     *
+     * @param upstream name of the upstream
+     * @param version the only version that the other process has seen until now
+     */
+    public void vouch(String upstream, String version) {
+        vouched.put(upstream, version);
+    }
+
+    /**
+     * Returns the upstreams about which nothing can be concluded yet although a single version is known.
+     *
+     * @param streamNanos longest time in nanoseconds from the beginning of a stream to its last resumption
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return names of the upstreams
+     */
+    public Set<String> unprovenUpstreams(long streamNanos, long nowNanos) {
+        return byUpstream.keySet().stream()
+                .filter(upstream ->
+                        onlySeenVersion(upstream, streamNanos, nowNanos).isPresent())
+                .filter(upstream -> onlyVersion(upstream, streamNanos, nowNanos).isEmpty())
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Records that a worker is published.
      *
@@ -98,12 +126,13 @@
      * @param upstream name of the upstream
      * @param streamNanos longest time in nanoseconds from the beginning of a stream to its last resumption
      * @param nowNanos current monotonic time in nanoseconds
-     * @return the only version that has served for so long; empty if there were several, if it is unknown, or if this
-     *     process has not observed the upstream for so long
+     * @return the only version that has served for so long; empty if there were several, if it is unknown, or if neither
+     *     this process nor one that has vouched for it has observed the upstream for so long
      */
     public Optional<String> onlyVersion(String upstream, long streamNanos, long nowNanos) {
         boolean isObservedForLong = isObserving && nowNanos - observedSinceNanos >= streamNanos;
-        return isObservedForLong ? onlySeenVersion(upstream, streamNanos, nowNanos) : Optional.empty();
+        return onlySeenVersion(upstream, streamNanos, nowNanos)
+                .filter(version -> isObservedForLong || version.equals(vouched.get(upstream)));
     }
 
     /**
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/resumption/VersionHistoryTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/resumption/VersionHistoryTest.java
@@ -84,4 +84,28 @@
         history.observe(5 * second + 1);
         assertThat(history.onlyVersion("u", 3 * second, 5 * second + 1)).isEmpty();
     }
+
+    // Guards against a process that knows nothing after a planned restart although its peers have observed for long.
+    @Test
+    void aPeerVouchesForTheOnlyVersionThatThisProcessHasSeenToo() {
+        history.beginObservation(0);
+        history.add("u", "v1");
+        assertThat(history.unprovenUpstreams(LIFETIME, 1)).containsExactly("u");
+        history.vouch("u", "v1");
+        assertThat(history.onlyVersion("u", LIFETIME, 1)).contains("v1");
+        assertThat(history.unprovenUpstreams(LIFETIME, 1)).isEmpty();
+        history.add("u", "v2");
+        assertThat(history.onlyVersion("u", LIFETIME, 2)).isEmpty();
+    }
+
+    @Test
+    void aVoucherForAnotherVersionOrFromBeforeAPauseProvesNothing() {
+        history.beginObservation(0);
+        history.add("u", "v1");
+        history.vouch("u", "v2");
+        assertThat(history.onlyVersion("u", LIFETIME, 1)).isEmpty();
+        history.vouch("u", "v1");
+        history.beginObservation(10);
+        assertThat(history.onlyVersion("u", LIFETIME, 11)).isEmpty();
+    }
 }
