What workers keep is told to peers by groups of parts, and decoded with checks

A process of a large fleet determined the three peers of each of some hundred parts of a worker by hashing all members, on its event loop: 2 million hashes at the target size. Now 64 groups of parts have their peers.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/PartSurvey.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/PartSurvey.java
@@ -1,7 +1,6 @@
 package org.dotterelcourse.gateway.fleet;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,8 +8,10 @@
 
 import com.codahale.metrics.Counter;
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.dotterelcourse.coordination.membership.Member;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.fleet.PartVersionCodec.KeptPart;
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.forward.KeptPartReader;
 import org.dotterelcourse.gateway.workers.WorkerEntry;
@@ -42,6 +43,9 @@
 
     private static final int CONCURRENT_READS = 4;
 
+    /** Leaves 64 groups of parts; enough to spread them over the processes of the target size. */
+    private static final int GROUP_SHIFT = 58;
+
     /** Parts in one message, which then fits into a datagram. */
     private static final int MAX_PARTS = 64;
 
@@ -55,9 +59,6 @@
     private final Counter reads;
     private final Map<String, Long> begunNanos = new HashMap<>();
 
-    /** A part that is kept at workers of a version. */
-    private record Kept(StreamKey part, String version) {}
-
     PartSurvey(GatewayLoop loop, GatewayState state, VersionKeepers keepers, KeptPartReader reader, Counter reads) {
         this.loop = loop;
         this.state = state;
@@ -88,18 +89,9 @@
     }
 
     void receiveResults(byte[] body) throws InvalidProtocolBufferException {
-        FleetProtos.PartVersions results = FleetProtos.PartVersions.parseFrom(body);
-        if (results.getVersionCount() != results.getPartCount()) {
-            throw new IllegalArgumentException("columns differ in length");
-        }
         long nowNanos = loop.nowNanos();
-        for (int i = 0; i < results.getPartCount(); i++) {
-            state.partVersions()
-                    .record(
-                            new StreamKey(results.getPart(i)),
-                            results.getVersionsList().get(results.getVersion(i)),
-                            nowNanos);
-        }
+        PartVersionCodec.decode(FleetProtos.PartVersions.parseFrom(body))
+                .forEach(kept -> state.partVersions().record(kept.part(), kept.version(), nowNanos));
     }
 
     private boolean isDue(String upstream) {
@@ -145,29 +137,24 @@
             return;
         }
         long nowNanos = loop.nowNanos();
-        List<Kept> kept = parts.stream()
-                .map(part -> new Kept(StreamKey.ofPart(worker.upstream(), part), worker.version()))
+        List<KeptPart> kept = parts.stream()
+                .map(part -> new KeptPart(StreamKey.ofPart(worker.upstream(), part), worker.version()))
                 .toList();
         kept.forEach(each -> state.partVersions().record(each.part(), each.version(), nowNanos));
         if (!keepers.areAllAsked()) {
-            keepers.group(kept, Kept::part).forEach((keeper, results) -> {
-                for (int first = 0; first < results.size(); first += MAX_PARTS) {
-                    List<Kept> message = results.subList(first, Math.min(results.size(), first + MAX_PARTS));
-                    keepers.send(keeper, RESULTS, encode(message));
-                }
-            });
+            keepers.group(kept, each -> group(each.part())).forEach(this::tell);
         }
     }
 
-    private static byte[] encode(List<Kept> results) {
-        List<String> versions = new ArrayList<>();
-        FleetProtos.PartVersions.Builder columns = FleetProtos.PartVersions.newBuilder();
-        for (Kept result : results) {
-            if (!versions.contains(result.version())) {
-                versions.add(result.version());
-            }
-            columns.addPart(result.part().value()).addVersion(versions.indexOf(result.version()));
+    private void tell(Member keeper, List<KeptPart> results) {
+        for (int first = 0; first < results.size(); first += MAX_PARTS) {
+            List<KeptPart> message = results.subList(first, Math.min(results.size(), first + MAX_PARTS));
+            keepers.send(keeper, RESULTS, PartVersionCodec.encode(message).toByteArray());
         }
-        return columns.addAllVersions(versions).build().toByteArray();
+    }
+
+    /** Returns the key that decides which peers keep a part: of some groups of parts, since a worker has hundreds of them. */
+    static StreamKey group(StreamKey part) {
+        return new StreamKey(part.value() >>> GROUP_SHIFT);
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -254,7 +254,7 @@
     @Override
     public Mono<Optional<StreamVersionProof>> ask(StreamKey stream, StreamKey part, String upstream) {
         Set<Member> asked = new LinkedHashSet<>(keepers.of(stream));
-        asked.addAll(keepers.of(part));
+        asked.addAll(keepers.of(PartSurvey.group(part)));
         return ask(stream, part, upstream, List.copyOf(asked));
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/VersionKeepers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/VersionKeepers.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 
 import com.codahale.metrics.Counter;
 import org.dotterelcourse.coordination.collect.CollectorPlan;
@@ -61,9 +60,10 @@
 
     /** Groups values by the peers that keep their keys. */
     <T> Map<Member, List<T>> group(Collection<T> values, Function<T, StreamKey> key) {
+        Map<StreamKey, List<Member>> byKey = new HashMap<>();
         Map<Member, List<T>> groups = new LinkedHashMap<>();
         for (T value : values) {
-            of(key.apply(value))
+            byKey.computeIfAbsent(key.apply(value), this::of)
                     .forEach(keeper -> groups.computeIfAbsent(keeper, member -> new ArrayList<>())
                             .add(value));
         }
@@ -73,12 +73,12 @@
     /** Returns the workers that this process reads, if each is read by one process. */
     List<String> assigned(Collection<String> workers) {
         List<String> names = others().stream().map(Member::name).toList();
-        return workers.stream()
-                .filter(worker -> names.stream()
-                        .noneMatch(other -> Long.compareUnsigned(
-                                        Rendezvous.weight(worker, other), Rendezvous.weight(worker, peers.self()))
-                                > 0))
-                .collect(Collectors.toList());
+        return workers.stream().filter(worker -> isAssigned(worker, names)).toList();
+    }
+
+    private boolean isAssigned(String worker, List<String> others) {
+        long own = Rendezvous.weight(worker, peers.self());
+        return others.stream().noneMatch(other -> Long.compareUnsigned(Rendezvous.weight(worker, other), own) > 0);
     }
 
     void send(Member member, String channel, byte[] body) {
