Routers that join are told the software versions of their peers' open streams

Clients whose stream began before planned restarts could not resume it when its router was lost after them: 503, "the software version of the resumed stream is not known".

Cause: a router tells its peers the version of a stream once, when the request goes to a worker. A peer that restarts afterwards has lost it, and nobody told it again; after the restart of all others only the router itself knew, and was lost.

Change: a router keeps the notices of its own streams for as long as these may be resumed, and sends a peer that joins, or comes back under a new incarnation, those that it keeps in its view of the fleet; twice, since datagrams may be lost.

Ruled out: that vouchers come too late.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -1,8 +1,6 @@
 package org.dotterelcourse.gateway.fleet;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -16,6 +14,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.dotterelcourse.coordination.MemberId;
 import org.dotterelcourse.coordination.membership.Member;
 import org.dotterelcourse.coordination.transport.PeerMessage;
 import org.dotterelcourse.coordination.transport.PeerTransport;
@@ -70,11 +69,12 @@
     /** Ticks between two questions to peers whether they vouch for the only version that this process has seen. */
     private static final int VOUCHER_TICKS = 4;
 
-    /** Streams of an upstream of one version for which notices are kept, in case another version appears. */
-    private static final int MAX_DEFERRED = 4_096;
+    /** Ticks in which a peer that has joined is told of open streams; messages may be lost. */
+    private static final int HANDOVER_TICKS = 2;
 
     private final Map<Long, Query> queries = new HashMap<>();
-    private final Map<String, Deque<Deferred>> deferred = new HashMap<>();
+    private final Map<String, OwnStreamNotices> ownNotices = new HashMap<>();
+    private final Map<MemberId, Integer> handovers = new HashMap<>();
     private List<StreamVersionNotice> unsent = new ArrayList<>();
     private GatewayLoop loop;
     private GatewayState state;
@@ -86,9 +86,6 @@
     private long lastQuery;
     private int ticks;
 
-    /** A notice that no peer needs while its upstream has a single version, with the time of the stream. */
-    private record Deferred(StreamVersionNotice notice, long atNanos) {}
-
     /** A query with the peers that have not answered, and what the others have said. */
     private static final class Query {
         private final MonoSink<Optional<StreamVersionProof>> sink;
@@ -185,14 +182,18 @@
         // The timer ends with the event loop.
     }
 
-    /** Removes old records, sends notices of upstreams that have several versions now, and asks peers to vouch. */
+    /**
+     * Removes old records, sends notices of upstreams that have several versions now, tells peers that have joined of open
+     * streams, and asks peers to vouch.
+     */
     private void tick() {
         long nowNanos = loop.nowNanos();
         long lifetimeNanos = state.streamLifetimeNanos();
         VersionHistory history = state.versionHistory(nowNanos);
         state.streamVersions().removeBefore(nowNanos - lifetimeNanos);
         state.partVersions().removeBefore(nowNanos - lifetimeNanos);
-        deferred.keySet().forEach(this::sendDeferred);
+        ownNotices.keySet().forEach(this::sendDeferred);
+        handOver();
         ticks++;
         if (state.isReady() && ticks % VOUCHER_TICKS == 0) {
             history.unprovenUpstreams(lifetimeNanos, nowNanos).forEach(this::askForVoucher);
@@ -210,24 +211,37 @@
 
     @Override
     public void announce(String upstream, StreamVersionNotice notice) {
-        deferred.computeIfAbsent(upstream, name -> new ArrayDeque<>()).addLast(new Deferred(notice, loop.nowNanos()));
+        ownNotices.computeIfAbsent(upstream, name -> new OwnStreamNotices()).add(notice, loop.nowNanos());
         sendDeferred(upstream);
     }
 
     /** Sends the notices of an upstream, including those from before it had several versions. */
     private void sendDeferred(String upstream) {
-        Deque<Deferred> notices = deferred.get(upstream);
+        OwnStreamNotices notices = ownNotices.get(upstream);
         long nowNanos = loop.nowNanos();
         long lifetimeNanos = state.streamLifetimeNanos();
-        while (!notices.isEmpty()
-                && (notices.size() > MAX_DEFERRED
-                        || nowNanos - notices.peekFirst().atNanos() > lifetimeNanos)) {
-            notices.removeFirst();
-        }
+        notices.removeBefore(nowNanos - lifetimeNanos);
         if (state.versionHistory(nowNanos).isAmbiguous(upstream, lifetimeNanos, nowNanos)) {
-            notices.forEach(each -> enqueue(each.notice()));
-            notices.clear();
+            notices.takeDeferred().forEach(this::enqueue);
+        }
+    }
+
+    /** Tells peers that have just joined of this process's open streams: they know none, and others may have restarted too. */
+    private void handOver() {
+        Map<MemberId, Member> joined = new HashMap<>();
+        keepers.others().forEach(peer -> joined.put(peer.id(), peer));
+        handovers.keySet().retainAll(joined.keySet());
+        joined.values().removeIf(peer -> handovers.merge(peer.id(), 1, Integer::sum) > HANDOVER_TICKS);
+        if (joined.isEmpty()) {
+            return;
         }
+        List<StreamVersionNotice> open =
+                ownNotices.values().stream().flatMap(OwnStreamNotices::all).toList();
+        keepers.group(open, StreamVersionNotice::stream).forEach((keeper, notices) -> {
+            if (joined.containsKey(keeper.id())) {
+                sendNotices(keeper, notices);
+            }
+        });
     }
 
     private void enqueue(StreamVersionNotice notice) {
@@ -242,8 +256,14 @@
     private void sendNotices() {
         Map<Member, List<StreamVersionNotice>> byReceiver = keepers.group(unsent, StreamVersionNotice::stream);
         unsent = new ArrayList<>();
-        byReceiver.forEach((keeper, notices) ->
-                keepers.send(keeper, NOTICES, StreamVersionCodec.encode(notices).toByteArray()));
+        byReceiver.forEach(this::sendNotices);
+    }
+
+    private void sendNotices(Member keeper, List<StreamVersionNotice> notices) {
+        for (int first = 0; first < notices.size(); first += MAX_NOTICES) {
+            List<StreamVersionNotice> message = notices.subList(first, Math.min(notices.size(), first + MAX_NOTICES));
+            keepers.send(keeper, NOTICES, StreamVersionCodec.encode(message).toByteArray());
+        }
     }
 
     @Override
