A request leaves the queue of an upstream's engines by a decision only

Cause: when the next request of the queue could only go to engines that had asked for a backoff, EngineQueues.rejectDuringBackoff took all requests out of the queue and answered those for which this held too. UpstreamQueue.removeAll and removeExpired left it to the caller to answer what they removed.

Change: UpstreamQueue has no method that returns removed requests. A request leaves it by a decision, which its recipient is told in the same call, or because its client has left. Each request is rejected for a reason of its own.

Found on the way, each with an example in EngineQueuesTest: - A request whose only engine was full held up all behind it, also those that free engines could serve. - Requests to an upstream that a new configuration no longer has waited until they expired. - A selection that failed ended polling for good: isPolling stayed true. Poller runs its task again after exceptions and errors of the JVM, which GatewayLoop logs now; Netty drops those of timers.

Ruled out: an answer that is lost between queue and client (others of the same router were answered), a recipient that throws (MonoSink turns that into an error of the same request).

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayLoop.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayLoop.java
@@ -18,7 +18,7 @@
  * The single event loop that accepts and forwards requests and runs all decisions about them, so that none of them
  * needs a lock. The VMs that clients connect to have less than one core, so more threads would add no capacity.
  */
-public final class GatewayLoop implements Service {
+public final class GatewayLoop implements Service, LoopTimers {
     /** Name of this service in the kernel. */
     public static final ServiceName<GatewayLoop> NAME = new ServiceName<>("gateway-loop", GatewayLoop.class);
 
@@ -104,12 +104,7 @@
         schedule(task, periodNanos - Math.floorMod(nowNanos(), periodNanos));
     }
 
-    /**
-     * Runs a task once after a delay. May be called on any thread.
-     *
-     * @param delayMillis the delay in milliseconds
-     * @param task must not block; exceptions are logged
-     */
+    @Override
     public void runAfter(long delayMillis, Runnable task) {
         schedule(task, TimeUnit.MILLISECONDS.toNanos(delayMillis));
     }
@@ -150,11 +145,7 @@
         return TimeUnit.NANOSECONDS.toMillis(Math.max(lagNanos, overdueNanos));
     }
 
-    /**
-     * Returns the current time of the monotonic clock that all decisions of the gateway use.
-     *
-     * @return nanoseconds since an arbitrary origin, which is fixed for the life of the process
-     */
+    @Override
     public long nowNanos() {
         return System.nanoTime();
     }
@@ -163,7 +154,8 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
+                // Netty would drop the error of a timer without a line in the log.
                 LOG.error("task on the gateway loop failed; the loop continues", e);
             }
         };
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/VersionBinding.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/VersionBinding.java
@@ -64,6 +64,11 @@
         excluded = versions;
     }
 
+    /** Returns the versions whose workers must not get the request, whether or not the stream has begun. */
+    Set<String> excluded() {
+        return excluded;
+    }
+
     /** Returns whether a worker of this version may get the request. */
     boolean accepts(String workerVersion) {
         return !excluded.contains(workerVersion) && (!isBound || !version.isEmpty() && version.equals(workerVersion));
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/line/PendingRequest.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/line/PendingRequest.java
@@ -19,4 +19,14 @@
         String customer,
         long arrivalNanos,
         long latestOnTimeStartNanos,
-        long latestUsefulStartNanos) {}
+        long latestUsefulStartNanos) {
+    /**
+     * Returns whether the request can no longer finish before its client gives up.
+     *
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return true if there is not enough time left
+     */
+    public boolean isExpired(long nowNanos) {
+        return nowNanos - latestUsefulStartNanos > 0;
+    }
+}
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/line/UpstreamQueue.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/line/UpstreamQueue.java
@@ -5,12 +5,19 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 /**
  * Priority queue of the requests that wait in one process for a free slot at an upstream's engines. Not thread-safe.
  *
+ * <p>A request leaves the queue with a decision, which its recipient is told at once and exactly once, or because it was
+ * withdrawn. No method removes requests otherwise.
+ *
  * <p>Answers a burst of long prompts that can wait, and a customer that sends many times its usual load. Without a
  * queue, the engines would process all prompts of a burst at the same time and generate so slowly that clients give
  * up: of 646 requests in a burst of 2.3 times the usual load, 337 were abandoned after 14 s of work each. A request
@@ -22,8 +29,9 @@
  * that sends more than all others together neither takes all slots nor is left without any.
  *
  * @param <T> the type of the caller's objects for requests
+ * @param <D> the type of the decisions
  */
-public final class UpstreamQueue<T> {
+public final class UpstreamQueue<T, D> {
     /** Half-life of the dispatch counts, about the time in which a burst builds up. */
     private static final double HALF_LIFE_NANOS = 4e9;
 
@@ -35,7 +43,7 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
-    private final List<PendingRequest<T>> pending = new ArrayList<>();
+    private final List<Entry<T, D>> pending = new ArrayList<>();
     private final Map<String, DecayedCount> dispatchesByCustomer = new HashMap<>();
     private boolean isOldestNext;
     private double dispatches;
@@ -48,22 +56,80 @@
         }
     }
 
+    /** A pending request with the recipient of its decision. Compared by identity: two requests may be equal. */
+    private static final class Entry<T, D> {
+        private final PendingRequest<T> request;
+        private final Consumer<? super D> recipient;
+
+        private Entry(PendingRequest<T> request, Consumer<? super D> recipient) {
+            this.request = request;
+            this.recipient = recipient;
+        }
+    }
+
     /**
      * Adds a request.
      *
      * @param request the request
+     * @param recipient is told the decision on the request; may add, withdraw and decide other requests
      */
-    public void add(PendingRequest<T> request) {
-        pending.add(request);
+    public void add(PendingRequest<T> request, Consumer<? super D> recipient) {
+        pending.add(new Entry<>(request, recipient));
     }
 
     /**
-     * Removes a request, whether it was dispatched or withdrawn. Does nothing if it is not in the queue.
+     * Removes a request whose client no longer waits for a decision. Does nothing if it is not in the queue.
      *
      * @param item the caller's object for the request
      */
-    public void remove(T item) {
-        pending.removeIf(each -> each.item().equals(item));
+    public void withdraw(T item) {
+        pending.removeIf(each -> each.request.item().equals(item));
+    }
+
+    /**
+     * Decides on a request, which leaves the queue. Does nothing if it is not in the queue.
+     *
+     * @param item the caller's object for the request
+     * @param decision the decision
+     */
+    public void decide(T item, D decision) {
+        Objects.requireNonNull(decision, "decision");
+        pending.stream()
+                .filter(each -> each.request.item().equals(item))
+                .findFirst()
+                .ifPresent(entry -> complete(entry, decision));
+    }
+
+    /**
+     * Decides on the pending requests by a rule, in the order in which they were added. Requests that are added meanwhile are
+     * not offered. If the rule or a recipient fails, all other requests are still offered; then the first failure is thrown.
+     *
+     * @param rule returns the decision on a request, or empty if it stays in the queue
+     */
+    public void decideEach(Function<? super PendingRequest<T>, Optional<D>> rule) {
+        RuntimeException failure = null;
+        for (Entry<T, D> entry : List.copyOf(pending)) {
+            try {
+                if (pending.contains(entry)) {
+                    rule.apply(entry.request).ifPresent(decision -> complete(entry, decision));
+                }
+            } catch (RuntimeException e) {
+                if (failure == null) {
+                    failure = e;
+                } else {
+                    failure.addSuppressed(e);
+                }
+            }
+        }
+        if (failure != null) {
+            throw failure;
+        }
+    }
+
+    private void complete(Entry<T, D> entry, D decision) {
+        if (pending.remove(entry)) {
+            entry.recipient.accept(decision);
+        }
     }
 
     /**
@@ -82,11 +148,22 @@
      * @return the next request, or empty if the queue is empty
      */
     public Optional<PendingRequest<T>> peekNext(long nowNanos) {
+        return peekNext(nowNanos, request -> true);
+    }
+
+    /**
+     * Returns the request to dispatch next among some of them, without removing it.
+     *
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @param eligible whether a request may be dispatched now
+     * @return the next request, or empty if none may be dispatched
+     */
+    public Optional<PendingRequest<T>> peekNext(long nowNanos, Predicate<? super PendingRequest<T>> eligible) {
         Comparator<PendingRequest<T>> order = Comparator.<PendingRequest<T>>comparingInt(PendingRequest::priority)
                 .thenComparing(each -> nowNanos > each.latestOnTimeStartNanos())
                 .thenComparingDouble(isOldestNext ? each -> 0 : recentDispatches(nowNanos))
                 .thenComparingLong(PendingRequest::arrivalNanos);
-        return pending.stream().min(order);
+        return pending.stream().map(each -> each.request).filter(eligible).min(order);
     }
 
     private ToDoubleFunction<PendingRequest<T>> recentDispatches(long nowNanos) {
@@ -127,29 +204,4 @@
         double nanos = perNano == 0 ? HALF_LIFE_NANOS : pending.size() / perNano;
         return pending.isEmpty() ? 0 : nanos / NANOS_PER_MILLI;
     }
-
-    /**
-     * Removes the requests that can no longer finish before their clients give up.
-     *
-     * @param nowNanos the current monotonic time in nanoseconds
-     * @return the removed requests, which the caller has to reject
-     */
-    public List<PendingRequest<T>> removeExpired(long nowNanos) {
-        List<PendingRequest<T>> expired = pending.stream()
-                .filter(each -> nowNanos > each.latestUsefulStartNanos())
-                .toList();
-        pending.removeAll(expired);
-        return expired;
-    }
-
-    /**
-     * Removes all requests.
-     *
-     * @return the removed requests, which the caller has to reject so that their clients retry elsewhere
-     */
-    public List<PendingRequest<T>> removeAll() {
-        List<PendingRequest<T>> all = List.copyOf(pending);
-        pending.clear();
-        return all;
-    }
 }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/line/BurstOfLongPromptsTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/line/BurstOfLongPromptsTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import org.dotterelcourse.policy.selection.EngineModel;
@@ -27,7 +28,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final EngineModel model = new EngineModel();
-    private final UpstreamQueue<Stream> queue = new UpstreamQueue<>();
+    private final UpstreamQueue<Stream, Boolean> queue = new UpstreamQueue<>();
     private final List<Stream> inFlight = new ArrayList<>();
     private final Deque<Stream> pendingPrefills = new ArrayDeque<>();
     private int completed;
@@ -86,23 +87,29 @@
             send(stream);
             return;
         }
-        queue.add(new PendingRequest<>(
+        PendingRequest<Stream> request = new PendingRequest<>(
                 stream,
                 2,
                 "c",
                 nanos(stream.arrivalMillis),
                 nanos(stream.arrivalMillis + TARGET_MILLIS - model.leadTimeMillis()),
-                nanos(stream.arrivalMillis + TIMEOUT_MILLIS / 2)));
+                nanos(stream.arrivalMillis + TIMEOUT_MILLIS / 2));
+        queue.add(request, isSent -> {
+            if (isSent) {
+                send(stream);
+            } else {
+                rejected++;
+            }
+        });
         dispatchPending(nowMillis);
     }
 
     private void dispatchPending(double nowMillis) {
-        rejected += queue.removeExpired(nanos(nowMillis)).size();
+        queue.decideEach(request -> request.isExpired(nanos(nowMillis)) ? Optional.of(false) : Optional.empty());
         while (queue.size() > 0 && inFlight.size() < model.maxStreamsWithin(TIMEOUT_MILLIS / 2)) {
             PendingRequest<Stream> next = queue.peekNext(nanos(nowMillis)).orElseThrow();
-            queue.remove(next.item());
             queue.recordDispatch(next.customer(), nanos(nowMillis));
-            send(next.item());
+            queue.decide(next.item(), true);
         }
     }
 
