Periodic tasks of a router go on after a run that has failed

A failure in one run of the startup queue's tick, the pacer, the grants of slots, notices of streams, the load level, the check of links, reports to peers or the poll of a shutdown was its last run: the timer of the next one was set at the end. After one in the startup queue or the pacer no request would have been answered any more.

All of them use Poller now, or set the next timer in a finally block.

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerTransport.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/transport/PeerTransport.java
@@ -188,8 +188,11 @@
         loop.schedule(
                 () -> {
                     if (!closed) {
-                        runAndReportFailure(task);
-                        schedulePeriodically(periodNanos, task);
+                        try {
+                            runAndReportFailure(task);
+                        } finally {
+                            schedulePeriodically(periodNanos, task);
+                        }
                     }
                 },
                 delayNanos,
@@ -346,7 +349,7 @@
     private void runAndReportFailure(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             failureListener.accept(e);
         }
     }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/kernel/ControlLoop.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/kernel/ControlLoop.java
@@ -89,14 +89,14 @@
     }
 
     /**
-     * Wraps a task so that its exceptions are logged. An uncaught exception would silently cancel a periodic task: the
+     * Wraps a task so that its exceptions and errors are logged. An uncaught one would silently cancel a periodic task: the
      * daemon would look healthy but never renew a lease again.
      */
     private static Runnable loggingExceptions(Runnable task) {
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOG.error("a task on the control loop failed", e);
             }
         };
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestPacer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestPacer.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import org.dotterelcourse.gateway.GatewayLoop;
+import org.dotterelcourse.gateway.Poller;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -29,10 +30,12 @@
 
     private final GatewayLoop loop;
     private final Set<MonoSink<Void>> pending = new LinkedHashSet<>();
-    private boolean isScheduled;
+    private final Poller poller;
+    private boolean hasPolledConnections;
 
     RequestPacer(GatewayLoop loop) {
         this.loop = loop;
+        this.poller = new Poller(loop, POLL_DELAY_MILLIS, this::admitBatch);
     }
 
     /** Completes when a request may proceed, which is at once while the event loop has no backlog. */
@@ -46,13 +49,15 @@
     private void enqueue(MonoSink<Void> sink) {
         pending.add(sink);
         sink.onDispose(() -> pending.remove(sink));
-        if (!isScheduled) {
-            isScheduled = true;
-            loop.runAfter(POLL_DELAY_MILLIS, () -> loop.runAfter(POLL_DELAY_MILLIS, this::admitBatch));
-        }
+        poller.start();
     }
 
-    private void admitBatch() {
+    /** Admits requests from the second run on, before which all connections have been polled. */
+    private boolean admitBatch() {
+        if (!hasPolledConnections) {
+            hasPolledConnections = true;
+            return true;
+        }
         long endNanos = loop.nowNanos() + BATCH_NANOS;
         while (!pending.isEmpty() && loop.nowNanos() - endNanos < 0) {
             Iterator<MonoSink<Void>> iterator = pending.iterator();
@@ -60,9 +65,7 @@
             iterator.remove();
             sink.success();
         }
-        isScheduled = !pending.isEmpty();
-        if (isScheduled) {
-            loop.runAfter(POLL_DELAY_MILLIS, this::admitBatch);
-        }
+        hasPolledConnections = !pending.isEmpty();
+        return hasPolledConnections;
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Shutdown.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/Shutdown.java
@@ -11,6 +11,7 @@
 import org.dotterelcourse.daemon.kernel.StartupFailure;
 import org.dotterelcourse.daemon.peers.Peers;
 import org.dotterelcourse.gateway.GatewayLoop;
+import org.dotterelcourse.gateway.Poller;
 
 /**
  * Graceful shutdown. First the process leaves the membership, so that clients are no longer directed to it, while it
@@ -82,8 +83,8 @@
             audit.add(AuditEvent.Kind.PROCESS, peers.self(), "SIGTERM", "serving", "leaving");
             server.enterPhase(ClientHttpServer.Phase.LEAVING);
             peers.leave();
+            loop.runAfter(LEAVING_MILLIS, new Poller(loop, POLL_INTERVAL_MILLIS, this::poll)::start);
             loop.runAfter(LEAVING_MILLIS, () -> server.enterPhase(ClientHttpServer.Phase.DRAINING));
-            loop.runAfter(LEAVING_MILLIS + POLL_INTERVAL_MILLIS, this::poll);
         });
     }
 
@@ -106,7 +107,8 @@
         finished.await();
     }
 
-    private void poll() {
+    /** Returns whether requests are in flight for which the process waits. */
+    private boolean poll() {
         long elapsedMillis = (loop.nowNanos() - startNanos) / NANOS_PER_MILLI;
         if (server.inFlight().count() == 0 || elapsedMillis >= graceMillis - KILL_MARGIN_MILLIS) {
             audit.add(
@@ -116,8 +118,8 @@
                     "leaving",
                     "ended");
             finished.countDown();
-            return;
+            return false;
         }
-        loop.runAfter(POLL_INTERVAL_MILLIS, this::poll);
+        return true;
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/StartupQueue.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/StartupQueue.java
@@ -9,6 +9,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.Poller;
 import org.dotterelcourse.gateway.workers.WorkerLinks;
 import org.dotterelcourse.policy.start.StartupWait;
 import org.jboss.logging.Logger;
@@ -39,6 +40,7 @@
     private final long expectedMillis;
     private final TreeSet<Entry> waiting =
             new TreeSet<>(Comparator.comparingLong(Entry::remainingNanos).thenComparingLong(Entry::number));
+    private final Poller poller;
     private final Counter waited;
     private final Counter expired;
     private final Counter disconnected;
@@ -58,6 +60,7 @@
         listeningNanos = listener.listeningNanos();
         expectedMillis = listener.expectedMillis();
         wait = new StartupWait(listeningNanos, expectedMillis);
+        poller = new Poller(loop, TICK_MILLIS, this::tick);
         waited = metrics.counter("gateway.start.waited");
         expired = metrics.counter("gateway.start.expired");
         disconnected = metrics.counter("gateway.start.disconnected");
@@ -66,7 +69,7 @@
 
     /** Begins to release requests. Must be called when the server has taken over the listening socket. */
     void begin() {
-        loop.runAfter(TICK_MILLIS, this::tick);
+        poller.start();
     }
 
     /** Completes when a request may proceed: at once after the start, otherwise when it is released or has expired. */
@@ -99,7 +102,8 @@
         });
     }
 
-    private void tick() {
+    /** Returns whether requests may still have to wait. */
+    private boolean tick() {
         ticks++;
         boolean ready = state.isReady();
         if (ready && startMillis == 0) {
@@ -114,9 +118,7 @@
                     WorkerLinks.slots(state.workers()), Math.max(minProcesses, state.processes())));
         }
         started = ready && waiting.isEmpty() && ticks >= BACKLOG_TICKS;
-        if (!started) {
-            loop.runAfter(TICK_MILLIS, this::tick);
-        }
+        return !started;
     }
 
     /** Completes the waits that have ended. Without a routing table, the requests are then rejected. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ClientAddresses.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/ClientAddresses.java
@@ -19,6 +19,7 @@
 import org.dotterelcourse.daemon.peers.Peers;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.Poller;
 import org.dotterelcourse.gateway.edge.ClientHttpServer;
 import org.dotterelcourse.gateway.edge.Shutdown;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
@@ -99,7 +100,7 @@
         if (capacityCores > 0) {
             int millicores = (int) Math.round(capacityCores * MILLICORES_PER_CORE);
             peers.updatePayload(payload -> payload.withCapacity(millicores));
-            loop.runAtNextMultiple(LOAD_PERIOD_MILLIS, this::measureLoad);
+            new Poller(run -> loop.runAtNextMultiple(LOAD_PERIOD_MILLIS, run), this::measureLoad).start();
         }
         return List.of();
     }
@@ -118,7 +119,8 @@
         return state.isReady() && !shutdown.hasBegun();
     }
 
-    private void measureLoad() {
+    /** Returns true: the load is measured until the process ends. */
+    private boolean measureLoad() {
         int load = loadLevel.update(loop.lagMillis(), loop.nowNanos());
         if (load != publishedLoad) {
             LOG.infof(
@@ -127,7 +129,7 @@
             publishedLoad = load;
             peers.updatePayload(payload -> payload.withLoad(load));
         }
-        loop.runAtNextMultiple(LOAD_PERIOD_MILLIS, this::measureLoad);
+        return true;
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -19,6 +19,7 @@
 import org.dotterelcourse.daemon.peers.Peers;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.Poller;
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.published.Publications;
@@ -147,7 +148,11 @@
         encoder = new ReportEncoder(state, publications, timings);
         transport.registerHandler(
                 LOADS, message -> loop.execute(() -> receive(message.sender().name(), message.body())));
-        loop.runAfter(MIN_DIRECT_PERIOD_MILLIS, this::sendReports);
+        Poller reports = new Poller(run -> loop.runAtNextMultiple(reportPeriodMillis(), run), this::sendReports);
+        loop.runAfter(MIN_DIRECT_PERIOD_MILLIS, () -> {
+            reports.start();
+            sendReports();
+        });
         return List.of();
     }
 
@@ -156,7 +161,14 @@
         // The timer ends with the event loop.
     }
 
-    private void sendReports() {
+    private long reportPeriodMillis() {
+        return plan == null || plan.isDirect()
+                ? Math.max(MIN_DIRECT_PERIOD_MILLIS, DIRECT_PERIOD_MILLIS_PER_PEER * others.size())
+                : collectedPeriodMillis(reportedRows);
+    }
+
+    /** Returns true: reports are sent until the process ends. */
+    private boolean sendReports() {
         long nowNanos = loop.nowNanos();
         List<Member> view = peers.view();
         if (view != plannedView || plan == null) {
@@ -187,8 +199,7 @@
         } else {
             reportByPlan(nowNanos);
         }
-        long period = Math.max(MIN_DIRECT_PERIOD_MILLIS, DIRECT_PERIOD_MILLIS_PER_PEER * others.size());
-        loop.runAtNextMultiple(plan.isDirect() ? period : collectedPeriodMillis(reportedRows), this::sendReports);
+        return true;
     }
 
     /** Returns the report period in a fleet with collectors, for reports with the given number of workers. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -25,6 +25,7 @@
 import org.dotterelcourse.daemon.peers.Peers;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.Poller;
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.forward.Forwarder;
 import org.dotterelcourse.gateway.forward.KeptPartReader;
@@ -152,7 +153,11 @@
         register(ANSWERS, this::receiveAnswer);
         register(PartSurvey.REQUESTS, (peer, body) -> survey.receiveRequest(body));
         register(PartSurvey.RESULTS, (peer, body) -> survey.receiveResults(body));
-        loop.execute(this::tick);
+        Poller poller = new Poller(loop, TICK_MILLIS, this::tick);
+        loop.execute(() -> {
+            poller.start();
+            tick();
+        });
         kernel.find(Forwarder.NAME).resumeThrough(this);
         return List.of();
     }
@@ -185,8 +190,10 @@
     /**
      * Removes old records, sends notices of upstreams that have several versions now, tells peers that have joined of open
      * streams, and asks peers to vouch.
+     *
+     * @return true, since there is always more to do
      */
-    private void tick() {
+    private boolean tick() {
         long nowNanos = loop.nowNanos();
         long lifetimeNanos = state.streamLifetimeNanos();
         VersionHistory history = state.versionHistory(nowNanos);
@@ -198,7 +205,7 @@
         if (state.isReady() && ticks % VOUCHER_TICKS == 0) {
             history.unprovenUpstreams(lifetimeNanos, nowNanos).forEach(this::askForVoucher);
         }
-        loop.runAfter(TICK_MILLIS, this::tick);
+        return true;
     }
 
     /** Asks some peers, others each time, whether they have observed the only version of an upstream for long enough. */
@@ -254,9 +261,9 @@
     }
 
     private void sendNotices() {
-        Map<Member, List<StreamVersionNotice>> byReceiver = keepers.group(unsent, StreamVersionNotice::stream);
+        List<StreamVersionNotice> collected = unsent;
         unsent = new ArrayList<>();
-        byReceiver.forEach(this::sendNotices);
+        keepers.group(collected, StreamVersionNotice::stream).forEach(this::sendNotices);
     }
 
     private void sendNotices(Member keeper, List<StreamVersionNotice> notices) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Reachability.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Reachability.java
@@ -17,6 +17,7 @@
 import org.dotterelcourse.daemon.kernel.StartupFailure;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.Poller;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.gateway.workers.WorkerLinks;
@@ -101,7 +102,7 @@
         probes = metrics.counter("gateway.reachability.probes");
         partitions = metrics.counter("gateway.reachability.partitions");
         metrics.gauge("gateway.reachability.cut-off", () -> () -> cutOffGauge);
-        loop.runAtNextMultiple(PERIOD_MILLIS, this::check);
+        new Poller(run -> loop.runAtNextMultiple(PERIOD_MILLIS, run), this::check).start();
         return List.of();
     }
 
@@ -189,7 +190,8 @@
         }
     }
 
-    private void check() {
+    /** Returns true: links are checked until the process ends. */
+    private boolean check() {
         long nowNanos = loop.nowNanos();
         if (detector.isCutOff()) {
             abortHanging(nowNanos);
@@ -199,7 +201,7 @@
         } else if (isSilent(nowNanos)) {
             probeOthers(SILENCE_PROBES);
         }
-        loop.runAtNextMultiple(PERIOD_MILLIS, this::check);
+        return true;
     }
 
     /** Signals that requests in flight hang, unless open connections still carry responses. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/slots/SlotExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/slots/SlotExchange.java
@@ -21,6 +21,7 @@
 import org.dotterelcourse.daemon.peers.Peers;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.gateway.Poller;
 import org.dotterelcourse.gateway.forward.Forwarder;
 import org.dotterelcourse.gateway.forward.SlotSource;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
@@ -53,7 +54,7 @@
     private PeerTransport transport;
     private List<Member> knownView = List.of();
     private List<String> owners = List.of();
-    private boolean isTicking;
+    private Poller poller;
     private Counter asked;
     private Counter granted;
     private Counter rejected;
@@ -80,6 +81,7 @@
         granted = metrics.counter("gateway.slots.granted");
         rejected = metrics.counter("gateway.slots.rejected");
         sentBytes = metrics.counter("gateway.slots.sent-bytes");
+        poller = new Poller(loop, TICK_MILLIS, this::tick);
         transport.registerHandler(CHANNEL, message -> loop.execute(() -> receive(message)));
         kernel.find(Forwarder.NAME).grantSlotsThrough(this);
         return List.of();
@@ -109,24 +111,29 @@
             cells.put(worker, cell);
             cell.updateOwner(owner(worker), random);
         }
-        if (!isTicking) {
-            isTicking = true;
-            loop.runAfter(TICK_MILLIS, this::tick);
-        }
+        poller.start();
         return cell;
     }
 
-    private void tick() {
+    /** Returns whether requests wait for a slot or hold one. */
+    private boolean tick() {
         updateOwners();
-        List<SlotCell> busy =
-                cells.values().stream().filter(cell -> !cell.isIdle()).toList();
-        busy.forEach(SlotCell::advance);
+        Map.copyOf(cells).forEach((worker, cell) -> {
+            if (!cell.isIdle()) {
+                advance(worker, cell);
+            }
+        });
         cells.entrySet()
                 .removeIf(cell -> cell.getValue().isIdle()
                         && state.workers().find(cell.getKey()).isEmpty());
-        isTicking = cells.values().stream().anyMatch(cell -> !cell.isIdle());
-        if (isTicking) {
-            loop.runAfter(TICK_MILLIS, this::tick);
+        return cells.values().stream().anyMatch(cell -> !cell.isIdle());
+    }
+
+    private static void advance(String worker, SlotCell cell) {
+        try {
+            cell.advance();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "failed to grant slots of worker %s, those of other workers are still granted", worker);
         }
     }
 
