Queued requests are sent to suspected engines if there are no others

While all engines of an upstream were suspected, requests in its queue waited up to 4 s, though others were sent there at once.

Cause: WorkerSelection.freeSlots counted engines that are not suspected only, so the queue's share of free slots was 0, while EngineSelector takes suspected engines if there are no others.

EngineQueuesTest#queuedRequestsAreServedWhileAllEnginesAreSuspected failed before and passes.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerSelection.java
@@ -109,11 +109,18 @@
         return state.engineModel(call.attributes().upstream().name()).maxStreamsWithin(typicalCompletionMillis(call));
     }
 
-    /** Returns the number of free slots at the upstream's engines for calls like this one, shared by all processes. */
+    /**
+     * Returns the number of free slots at the upstream's engines for calls like this one, shared by all processes. Counts the
+     * engines among which {@link EngineSelector} selects: suspected ones only if there are no others.
+     */
     int freeSlots(Call call, long nowNanos) {
         int maxStreams = maxStreams(call);
-        return candidates(call, nowNanos).stream()
-                .filter(engine -> engine.canReceive() && !engine.suspected())
+        List<WorkerLoad> receiving = candidates(call, nowNanos).stream()
+                .filter(WorkerLoad::canReceive)
+                .toList();
+        boolean areAllSuspected = receiving.stream().allMatch(WorkerLoad::suspected);
+        return receiving.stream()
+                .filter(engine -> areAllSuspected || !engine.suspected())
                 .mapToInt(engine -> Math.max(0, engine.streamLimit(maxStreams) - engine.inFlight()))
                 .sum();
     }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/EngineQueuesTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/EngineQueuesTest.java
@@ -157,6 +157,19 @@
         assertThat(other.answers).singleElement().isInstanceOf(EngineQueues.AdmissionResult.Dispatched.class);
     }
 
+    // Guards against queued requests that wait while all engines are suspected, although others are sent there.
+    @Test
+    void queuedRequestsAreServedWhileAllEnginesAreSuspected() {
+        fillAllSlots();
+        Waiting request = add(TIMEOUT_MILLIS, Set.of(), false);
+        running.forEach(placement -> {
+            placement.recordFailure(timers.nowNanos());
+            placement.end();
+        });
+        timers.advance(POLLS_MILLIS);
+        assertThat(request.answers).singleElement().isInstanceOf(EngineQueues.AdmissionResult.Dispatched.class);
+    }
+
     // Guards against requests that wait until they expire for an upstream that no longer exists.
     @Test
     void queuedRequestsAreAnsweredWhenTheirUpstreamIsNoLongerConfigured() {
