Notices for a peer that joins are chosen without ranking all peers for each stream

Found by reading: a router ranked all peers by rendezvous hashing for each of its open streams while a peer had just joined; at the target size (340 routers, some 300 streams each) some 100,000 hashes and 300 sorts at each restart of a peer. It counts the peers that come before the joined one now, and stops at the third. The same peers get the same notices (PlannedRestartsTest, in the whole check).

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -244,11 +244,7 @@
         }
         List<StreamVersionNotice> open =
                 ownNotices.values().stream().flatMap(OwnStreamNotices::all).toList();
-        keepers.group(open, StreamVersionNotice::stream).forEach((keeper, notices) -> {
-            if (joined.containsKey(keeper.id())) {
-                sendNotices(keeper, notices);
-            }
-        });
+        joined.values().forEach(peer -> sendNotices(peer, keepers.keptBy(peer, open, StreamVersionNotice::stream)));
     }
 
     private void enqueue(StreamVersionNotice notice) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/VersionKeepers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/VersionKeepers.java
@@ -58,6 +58,26 @@
                 .toList();
     }
 
+    /** Returns the values whose keys a peer keeps, without ranking all peers for each key. */
+    <T> List<T> keptBy(Member peer, Collection<T> values, Function<T, StreamKey> key) {
+        List<Member> others = others();
+        return others.size() < CollectorPlan.MAX_DIRECT_PROCESSES
+                ? List.copyOf(values)
+                : values.stream()
+                        .filter(value -> isKeeper(peer, key.apply(value), others))
+                        .toList();
+    }
+
+    private static boolean isKeeper(Member peer, StreamKey key, List<Member> others) {
+        String text = Long.toHexString(key.value());
+        long weight = Rendezvous.weight(text, peer.name());
+        return others.stream()
+                        .filter(other -> Long.compareUnsigned(Rendezvous.weight(text, other.name()), weight) > 0)
+                        .limit(KEEPERS)
+                        .count()
+                < KEEPERS;
+    }
+
     /** Groups values by the peers that keep their keys. */
     <T> Map<Member, List<T>> group(Collection<T> values, Function<T, StreamKey> key) {
         Map<StreamKey, List<Member>> byKey = new HashMap<>();
