--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
@@ -1,9 +1,14 @@
 package org.dotterelcourse.gateway.forward;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeoutException;
 
+import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.policy.quarantine.Verdict;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
 
 /** Determines the reply to a client when there are no further attempts. */
 final class FinalReplies {
@@ -13,12 +18,31 @@
     /** About the time after which a crashed worker is back, or another one of its software version has room. */
     private static final long RETRY_AFTER_NO_VERSION_MILLIS = 1_000;
 
+    /** Time after a request's deadline in which every part that it may wait for has decided on it. */
+    private static final long UNDECIDED_GRACE_MILLIS = 2 * StreamForwarder.DEADLINE_GRACE_MILLIS;
+
+    private static final Logger LOG = Logger.getLogger(FinalReplies.class);
+
+    private final GatewayLoop loop;
     private final SharedBackoff sharedBackoff;
 
-    FinalReplies(SharedBackoff sharedBackoff) {
+    FinalReplies(GatewayLoop loop, SharedBackoff sharedBackoff) {
+        this.loop = loop;
         this.sharedBackoff = sharedBackoff;
     }
 
+    /** Answers a request that has no reply shortly after its deadline, whichever part has failed to decide on it. */
+    Mono<Reply> decideAtDeadline(Call call, Mono<Reply> reply) {
+        long remainingMillis = Math.max(0, call.remainingMillis(loop.nowNanos()));
+        return reply.timeout(Duration.ofMillis(remainingMillis + UNDECIDED_GRACE_MILLIS), loop.scheduler())
+                .onErrorResume(TimeoutException.class, error -> {
+                    LOG.errorf(
+                            "nothing has decided on request %s until %d ms after its deadline, it is answered now",
+                            call.attributes().id(), UNDECIDED_GRACE_MILLIS);
+                    return Mono.just(reply(call, Optional.empty(), "timeout", loop.nowNanos()));
+                });
+    }
+
     /**
      * Returns a worker's earlier error response if there is one, otherwise one of the router. It states that the request
      * was not executed only if no attempt may have executed it.
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -18,7 +18,6 @@
 import org.dotterelcourse.gateway.workers.Placement;
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.policy.quarantine.Verdict;
-import org.jboss.logging.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -36,11 +35,6 @@
     /** Lowest status of an error response, which a worker may send without doing the work of the request. */
     private static final int BAD_REQUEST = 400;
 
-    /** Time after a request's deadline in which every part that it may wait for has decided on it. */
-    private static final long UNDECIDED_GRACE_MILLIS = 2 * StreamForwarder.DEADLINE_GRACE_MILLIS;
-
-    private static final Logger LOG = Logger.getLogger(Forwarder.class);
-
     private final String dataCentre;
     private final Dialect dialect;
     private final ResponseValidator validator;
@@ -99,7 +93,7 @@
         selection = new WorkerSelection(dataCentre, state, random);
         SharedBackoff sharedBackoff = new SharedBackoff(state, random);
         retries = new RetryPolicy(state);
-        finalReplies = new FinalReplies(sharedBackoff);
+        finalReplies = new FinalReplies(loop, sharedBackoff);
         resumption = new StreamResumption(loop, failureHandler, retries, call -> attempt(call, Optional.empty()));
         queues = new EngineQueues(loop, state, selection, sharedBackoff, random);
         return List.of();
@@ -147,7 +141,7 @@
         return Mono.defer(() -> {
             state.retryBudget(call.attributes().upstream().name()).recordRequest(loop.nowNanos());
             selection.recordArrival(call, loop.nowNanos());
-            return decideAtDeadline(
+            return finalReplies.decideAtDeadline(
                     call,
                     clientResumption
                             .bind(call)
@@ -167,22 +161,10 @@
     public Mono<Reply> forwardForPeer(Call call) {
         return Mono.defer(() -> {
             selection.recordArrival(call, loop.nowNanos());
-            return decideAtDeadline(call, attempt(call, Optional.empty()));
+            return finalReplies.decideAtDeadline(call, attempt(call, Optional.empty()));
         });
     }
 
-    /** Answers a request that has no reply shortly after its deadline, whichever part has failed to decide on it. */
-    private Mono<Reply> decideAtDeadline(Call call, Mono<Reply> reply) {
-        long remainingMillis = Math.max(0, call.remainingMillis(loop.nowNanos()));
-        return reply.timeout(Duration.ofMillis(remainingMillis + UNDECIDED_GRACE_MILLIS), loop.scheduler())
-                .onErrorResume(TimeoutException.class, error -> {
-                    LOG.errorf(
-                            "nothing has decided on request %s until %d ms after its deadline, it is answered now",
-                            call.attributes().id(), UNDECIDED_GRACE_MILLIS);
-                    return Mono.just(finalReplies.reply(call, Optional.empty(), "timeout", loop.nowNanos()));
-                });
-    }
-
     /** Rejects all queued calls, when the process no longer accepts requests. May be called from any thread. */
     public void rejectQueued() {
         loop.execute(queues::rejectAll);
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/ManualTimers.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/ManualTimers.java
@@ -35,7 +35,11 @@
         timers.add(new Timer(nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis), ++lastNumber, task));
     }
 
-    /** Runs all tasks that are due within this time. */
+    /**
+     * Runs all tasks that are due within this time.
+     *
+     * @param millis the time in milliseconds
+     */
     public void advance(long millis) {
         long endNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
         while (!timers.isEmpty() && timers.peek().dueNanos() <= endNanos) {
@@ -50,12 +54,20 @@
         nowNanos = endNanos;
     }
 
-    /** Returns what tasks have thrown. */
+    /**
+     * Returns what tasks have thrown.
+     *
+     * @return the exceptions and errors in their order
+     */
     public List<Throwable> failures() {
         return failures;
     }
 
-    /** Returns the number of tasks that are still to run. */
+    /**
+     * Returns the number of tasks that are still to run.
+     *
+     * @return the number of timers
+     */
     public int size() {
         return timers.size();
     }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/EngineQueuesTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/EngineQueuesTest.java
@@ -276,8 +276,11 @@
             case OLD_ENGINE_BACK -> publish("old-0", OLD);
             case RELOAD_WITHOUT_UPSTREAM -> reload(false);
             case RELOAD -> reload(true);
-            case SELECTION_FAILS -> random.fails = true;
+            case SELECTION_FAILS -> {
+                random.fails = true;
+            }
             case STOP -> queues.rejectAll();
+            default -> throw new AssertionError(event);
         }
     }
 
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/line/UpstreamQueueTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/line/UpstreamQueueTest.java
@@ -197,6 +197,7 @@
                     randomQueue.decideEach(each -> each.item() % 2 == 0 ? Optional.of("rejected") : Optional.empty());
                 case WITHDRAW -> withdraw.accept(number / 2);
                 case DECIDE_ALL -> randomQueue.decideEach(each -> Optional.of("rejected"));
+                default -> throw new AssertionError(operation);
             }
         }
         while (randomQueue.size() > 0) {
