A router that stood still for a moment goes on with what it has observed of software versions

Cause: VersionHistory began its observation anew, and dropped vouchers, when it had not been looked at for over a second. Both routers that were left did so at once. The killed one had told nobody of its streams because they could vouch.

Change: after a pause of up to 4 s the observation goes on once messages that came meanwhile have had half a second to be read; resumptions wait for that. A process that keeps its notices back has seen its only version alone for 10 s or more, so this one knew that version before such a pause; any other stream has a notice, which is read first.

Ruled out: that resumptions came before routers were ready (both had served for 8 and 16 s), and lost datagrams (no notice was due).

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
@@ -38,6 +38,8 @@
     /** With less time, the client's next attempt has a better chance. */
     private static final long MIN_REMAINING_MILLIS = 1_000;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final GatewayLoop loop;
     private final GatewayState state;
     private final Counter resumed;
@@ -120,6 +122,11 @@
             return Mono.just(recorded);
         }
         long nowNanos = loop.nowNanos();
+        long catchUpMillis = state.versionHistory(nowNanos).catchUpNanos(nowNanos) / NANOS_PER_MILLI;
+        if (catchUpMillis > 0 && call.remainingMillis(nowNanos) - catchUpMillis > MIN_REMAINING_MILLIS) {
+            return Mono.delay(Duration.ofMillis(catchUpMillis + 1), loop.scheduler())
+                    .then(Mono.defer(() -> find(call, resumedId)));
+        }
         Optional<StreamVersionProof> only = state.versionHistory(nowNanos)
                 .onlyVersion(upstream, state.streamLifetimeNanos(), nowNanos)
                 .map(version -> new StreamVersionProof(version, StreamVersionProof.Kind.ONLY_VERSION));
