--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/AnswersCutInTheirHeadTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/AnswersCutInTheirHeadTest.java
@@ -30,10 +30,15 @@
     private static final int CONCURRENT = 16;
     private static final int OK = 200;
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
-    /** Time after an answer in which its connection is back in the pool. */
+    /** Time after an answer in which its connection usually is back in the pool. */
     private static final Duration RETURNED = Duration.ofMillis(3);
 
-    private static final String WARM = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    /** The first answer of a connection whose second one is cut. */
+    private static final String WARM = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + RelayHeaders.OUTCOME
+            + ": unknown\r\n" + RelayHeaders.REASON + ": first\r\n\r\nfirst";
+
+    private static final List<String> WARM_RESULTS =
+            List.of("200 with 5 bytes", new RelayResult.Unknown("first").toString());
     private static final String COMMON = "X-Request-Id: id-1\r\nX-Stamp: stamp.1\r\n";
 
     private final GatewayLoop loop = new GatewayLoop();
@@ -130,9 +135,7 @@
                     .flatMap(
                             cut -> Mono.defer(() -> way.isFirst()
                                             ? sending.send(server, cut)
-                                            : sending.send(server, cut)
-                                                    .then(Mono.delay(RETURNED))
-                                                    .then(sending.send(server, cut)))
+                                            : sendOnUsedConnection(sending, server, cut))
                                     .onErrorReturn("error")
                                     .defaultIfEmpty("nothing"),
                             way.isFirst() ? CONCURRENT : 1)
@@ -141,6 +144,14 @@
         }
     }
 
+    /** Sends requests until one gets the second answer of its connection. */
+    private static Mono<String> sendOnUsedConnection(Sending sending, RawAnswerServer server, int cut) {
+        return sending.send(server, cut)
+                .flatMap(result -> WARM_RESULTS.contains(result)
+                        ? Mono.delay(RETURNED).then(Mono.defer(() -> sendOnUsedConnection(sending, server, cut)))
+                        : Mono.just(result));
+    }
+
     private static Mono<String> send(WorkerClient client, RawAnswerServer server, int cut) {
         return client.send(
                         server.address(),
