--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Membership.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Membership.java
@@ -27,6 +27,10 @@
 
     private static final int MAX_TIMEOUT_MULTIPLIER = 4;
     private static final int LEAVE_FAN_OUT = 5;
+
+    /** Bounds the part of its time that a process that is behind spends on its own gossip. */
+    private static final int LATENESS_FACTOR = 8;
+
     private static final int STARTUP_GRACE_PROBE_PERIODS = 10;
 
     private final MembershipSettings settings;
@@ -45,6 +49,8 @@
     private int timeoutMultiplier = 1;
 
     private long lastEventNanos;
+    private long lastTickNanos;
+    private long latenessNanos;
     private long nextGossipNanos;
 
     Membership(MembershipBuilder builder, long nowNanos) {
@@ -52,6 +58,7 @@
         random = builder.random;
         startNanos = nowNanos;
         lastEventNanos = nowNanos;
+        lastTickNanos = nowNanos;
         long startupGraceNanos = STARTUP_GRACE_PROBE_PERIODS * settings.probePeriodNanos();
         self = new LocalMember(builder.self, builder.address, builder.payload, nowNanos, startupGraceNanos);
         table = new MemberTable(settings.maxMembers());
@@ -149,6 +156,7 @@
     }
 
     private void tick(long nowNanos) {
+        detectLateness(nowNanos);
         String failed = prober.tick(nowNanos, timeoutMultiplier);
         if (failed != null) {
             suspect(failed, nowNanos);
@@ -166,6 +174,20 @@
         }
     }
 
+    /**
+     * Detects that this process is behind: answers of others may wait to be read. Probes and suspects get as much more time,
+     * and the gossip of this process slows down, so that its own messages don't keep it behind.
+     */
+    private void detectLateness(long nowNanos) {
+        latenessNanos = Math.max(0, nowNanos - lastTickNanos - settings.tickNanos());
+        lastTickNanos = nowNanos;
+        if (latenessNanos > settings.tickNanos()) {
+            prober.postpone(latenessNanos);
+            suspicions.postponeAll(latenessNanos);
+            raiseTimeoutMultiplier();
+        }
+    }
+
     private void receive(MembershipEvent.Received received, long nowNanos) {
         MembershipMessage message = received.message();
         Update sender = message.self();
@@ -178,12 +200,13 @@
             rejectReplaced(received.from(), current);
             return;
         }
-        apply(sender, true, nowNanos);
+        apply(sender, true, true, nowNanos);
+        boolean isTable = message.body() instanceof Table;
         for (Update update : message.updates()) {
-            handleUpdate(update, received.from(), nowNanos);
+            handleUpdate(update, received.from(), isTable, nowNanos);
         }
         if (!stopped) {
-            respond(received, message.body(), nowNanos);
+            respond(received, message, nowNanos);
         }
     }
 
@@ -192,12 +215,16 @@
         out.sendWithoutGossip(from, DeliveryMode.DATAGRAM, new Gossip(), List.of(successor.update()));
     }
 
-    private void handleUpdate(Update update, InetSocketAddress from, long nowNanos) {
+    private void handleUpdate(Update update, InetSocketAddress from, boolean fromTable, long nowNanos) {
         if (update.id().name().equals(self.id().name())) {
             handleUpdateAboutSelf(update, from, nowNanos);
         } else {
             gossip.recordReceived(update, table.liveCount() + 1);
-            apply(update, false, nowNanos);
+            // While this process joins, the members that it learns of from tables are known to others already.
+            boolean isNews = !fromTable
+                    || !exchange.isStarting(nowNanos)
+                    || table.member(update.id().name()) != null;
+            apply(update, false, isNews, nowNanos);
         }
     }
 
@@ -241,7 +268,7 @@
         return deathOfSuspect && !suspicions.wasPingedBefore(current.name(), settings.probePeriodNanos(), nowNanos);
     }
 
-    private void apply(Update update, boolean fromSubject, long nowNanos) {
+    private void apply(Update update, boolean fromSubject, boolean spread, long nowNanos) {
         if (!fromSubject && isUnconfirmedDeath(update, nowNanos)) {
             return;
         }
@@ -255,7 +282,7 @@
             return;
         }
         boolean suspectedInstead = member.state() != update.state();
-        if (!suspectedInstead) {
+        if (!suspectedInstead && spread) {
             gossip.add(update);
         }
         if (member.state() == MemberState.SUSPECT) {
@@ -267,9 +294,10 @@
         }
     }
 
-    private void respond(MembershipEvent.Received received, Body body, long nowNanos) {
+    private void respond(MembershipEvent.Received received, MembershipMessage message, long nowNanos) {
+        Body body = message.body();
         InetSocketAddress from = received.from();
-        String sender = received.message().self().id().name();
+        String sender = message.self().id().name();
         DeliveryMode replyMode = received.mode() == DeliveryMode.DATAGRAM ? DeliveryMode.DATAGRAM : DeliveryMode.STREAM;
         if (body instanceof Ping ping) {
             boolean wrongTarget = !ping.target().equals(self.id().name());
@@ -279,11 +307,9 @@
         } else if (body instanceof PingRequest request) {
             prober.relayPing(request, from, nowNanos);
         } else if (body instanceof Sync sync) {
-            if (sync.digest() != table.digest(self.update())) {
-                exchange.sendTable(from, true);
-            }
+            exchange.answer(sync, from);
         } else if (body instanceof Table offered && offered.replyWanted()) {
-            exchange.sendTable(from, false);
+            exchange.sendMissing(from, message.updates());
         }
     }
 
@@ -354,7 +380,7 @@
         if (gossip.isEmpty() || nowNanos - nextGossipNanos < 0) {
             return;
         }
-        nextGossipNanos = nowNanos + settings.gossipPeriodNanos();
+        nextGossipNanos = nowNanos + settings.gossipPeriodNanos() + LATENESS_FACTOR * latenessNanos;
         sendGossip(settings.gossipFanOut());
     }
 
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Prober.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Prober.java
@@ -78,6 +78,13 @@
         nextProbeNanos = nowNanos + settings.probePeriodNanos();
     }
 
+    /** Extends the current probe by a time in which this process could not read an answer. */
+    void postpone(long nanos) {
+        if (currentProbe != null) {
+            currentProbe.startNanos += nanos;
+        }
+    }
+
     /**
      * Handles an ack, forwarding it if it answers a relayed ping.
      *
@@ -195,7 +202,7 @@
     private static final class Probe {
         private final String target;
         private final long sequence;
-        private final long startNanos;
+        private long startNanos;
         private boolean indirect;
 
         private Probe(String target, long sequence, long startNanos) {
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Suspicions.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Suspicions.java
@@ -41,6 +41,13 @@
         }
     }
 
+    /** Moves the deadlines of all suspects back. */
+    void postponeAll(long nanos) {
+        for (Suspicion suspicion : running.values()) {
+            suspicion.deadlineNanos += nanos;
+        }
+    }
+
     List<String> expired(long nowNanos) {
         List<String> names = new ArrayList<>();
         for (Map.Entry<String, Suspicion> entry : running.entrySet()) {
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/TableExchange.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/TableExchange.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.random.RandomGenerator;
 
 import org.dotterelcourse.coordination.Shuffles;
@@ -18,7 +20,7 @@
     private static final int SEEDS_PER_ROUND = 3;
     private static final int GOSSIP_BACKLOG_THRESHOLD = 32;
     private static final int BACKLOG_SYNC_FACTOR = 10;
-    private static final int STARTUP_PROBE_PERIODS = 10;
+    private static final int STARTUP_PROBE_PERIODS = 15;
 
     private final LocalMember self;
     private final MemberTable table;
@@ -30,6 +32,7 @@
     private long nextSyncNanos;
     private long nextReconnectNanos;
     private long nextJoinNanos;
+    private long startupPeriodNanos;
 
     TableExchange(
             LocalMember self,
@@ -47,6 +50,7 @@
         this.out = out;
         startNanos = nowNanos;
         nextJoinNanos = nowNanos;
+        startupPeriodNanos = settings.probePeriodNanos();
         nextSyncNanos = nowNanos + random.nextLong(settings.probePeriodNanos());
         nextReconnectNanos = nowNanos + random.nextLong(settings.reconnectPeriodNanos());
     }
@@ -57,6 +61,11 @@
         reconnect(nowNanos, vmList);
     }
 
+    /** Returns whether this process has joined only lately, and still compares tables more often. */
+    boolean isStarting(long nowNanos) {
+        return nowNanos - startNanos < STARTUP_PROBE_PERIODS * settings.probePeriodNanos();
+    }
+
     /** Schedules a sync for the next tick. */
     void scheduleSync(long nowNanos) {
         nextSyncNanos = nowNanos;
@@ -91,12 +100,15 @@
 
     /**
      * Returns the time until the next sync. It is short after the start, because when a whole data centre starts, a
-     * process may have joined through another new one with an incomplete table. It is also short while more updates are
-     * pending than gossip can carry soon, for example after a partition.
+     * process may have joined through another new one with an incomplete table, and doubles each time: whole tables are
+     * what costs a starting process most. It is also short while more updates are pending than gossip can carry soon, for
+     * example after a partition.
      */
     private long syncPeriod(long nowNanos) {
-        if (nowNanos - startNanos < STARTUP_PROBE_PERIODS * settings.probePeriodNanos()) {
-            return settings.probePeriodNanos();
+        if (isStarting(nowNanos)) {
+            long period = startupPeriodNanos;
+            startupPeriodNanos = 2 * period;
+            return period;
         }
         boolean backlogged = gossip.size() > GOSSIP_BACKLOG_THRESHOLD;
         return settings.syncPeriodNanos() / (backlogged ? BACKLOG_SYNC_FACTOR : 1);
@@ -138,11 +150,40 @@
         out.sendWithoutGossip(address, DeliveryMode.DATAGRAM, sync, updates);
     }
 
-    void sendTable(InetSocketAddress to, boolean replyWanted) {
+    /** Sends the table if it differs from that of the sender of a sync, and requests what this process lacks. */
+    void answer(Sync sync, InetSocketAddress from) {
+        if (sync.digest() != table.digest(self.update())) {
+            sendTable(from, true);
+        }
+    }
+
+    private void sendTable(InetSocketAddress to, boolean replyWanted) {
         List<Update> updates = new ArrayList<>();
         for (Member member : table.members()) {
             updates.add(member.update());
         }
         out.sendWithoutGossip(to, DeliveryMode.STREAM, new Table(replyWanted), updates);
     }
+
+    /** Answers a table with the updates that it lacks. */
+    void sendMissing(InetSocketAddress to, List<Update> received) {
+        Map<String, Update> known = new HashMap<>();
+        for (Update update : received) {
+            known.put(update.id().name(), update);
+        }
+        List<Update> missing = new ArrayList<>();
+        for (Member member : table.members()) {
+            if (isNewer(member, known.get(member.name()))) {
+                missing.add(member.update());
+            }
+        }
+        out.sendWithoutGossip(to, DeliveryMode.STREAM, new Table(false), missing);
+    }
+
+    private static boolean isNewer(Member member, Update known) {
+        return known == null
+                || member.update().overrides(known.id().incarnation(), known.state())
+                || member.id().incarnation() == known.id().incarnation()
+                        && member.payloadVersion() > known.payloadVersion();
+    }
 }
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/Fleet.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/Fleet.java
@@ -27,6 +27,7 @@
     final List<MembershipEffect.Superseded> superseded = new ArrayList<>();
     int largestDatagram;
     long datagramBytes;
+    long receivedUpdates;
     private final Map<Integer, Long> nextTickNanos = new HashMap<>();
     private final MembershipSettings settings;
     private final String clientAddress;
@@ -134,6 +135,7 @@
 
     private void receive(int node, int from, Packet packet) {
         MembershipMessage message = MembershipCodec.decode(packet.bytes).orElseThrow();
+        receivedUpdates += message.updates().size();
         DeliveryMode mode = packet.mode == DeliveryMode.DATAGRAM ? DeliveryMode.DATAGRAM : DeliveryMode.STREAM;
         submit(node, new MembershipEvent.Received(SimulatedNetwork.address(from), mode, message));
     }
