Reports of a large fleet: a plan is computed for changes that matter, at most twice a second; candidates once a plan

Cause: each change of a member, also of a payload such as its load, led to a new plan of who reports to whom, which hashes all names. Ten times a second each process searched its collector by filtering the names of its data centre against a list of them, which is quadratic. With 86 processes in one data centre and no load at all, 0.68 of the samples of the loop were in sendReports, 0.36 of them in that search and 0.16 in plans (five processes without compilation, 325 samples).

Change: CollectorPlan keeps the candidates; a view in which only payloads have changed keeps the plan; PlanSchedule allows a plan each 500 ms in fleets with collectors, and less often while the loop is late.

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/collect/CollectorPlan.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/collect/CollectorPlan.java
@@ -1,6 +1,7 @@
 package org.dotterelcourse.coordination.collect;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -45,6 +46,7 @@
     private final Map<String, List<String>> collectorOrderByDataCentre = new TreeMap<>();
     private final Map<String, String> relaysByDataCentre = new TreeMap<>();
     private final List<String> readerCandidates;
+    private final List<String> collectorCandidates;
     private final String dataCentre;
 
     private CollectorPlan(String self, List<Member> members) {
@@ -59,6 +61,19 @@
         }
         namesByDataCentre.forEach(this::planDataCentre);
         readerCandidates = readerCandidates(members);
+        collectorCandidates = collectorCandidates();
+    }
+
+    /** The collectors of this data centre in rendezvous order for this process, then its other processes. */
+    private List<String> collectorCandidates() {
+        if (isDirect() || isCollector()) {
+            return List.of();
+        }
+        List<String> collectors = collectorsByDataCentre.getOrDefault(dataCentre, List.of());
+        Set<String> candidates = new LinkedHashSet<>(Rendezvous.order(self, collectors));
+        candidates.addAll(collectorOrderByDataCentre.getOrDefault(dataCentre, List.of()));
+        candidates.remove(self);
+        return List.copyOf(candidates);
     }
 
     /** Puts the relays first, so that the first two candidates are in different data centres. */
@@ -147,15 +162,37 @@
      *     {@link #isDirect()}
      */
     public Optional<String> collector(Set<String> excluded) {
-        if (isDirect() || isCollector()) {
-            return Optional.empty();
+        for (String candidate : collectorCandidates) {
+            if (!excluded.contains(candidate)) {
+                return Optional.of(candidate);
+            }
         }
-        List<String> collectors = collectorsByDataCentre.getOrDefault(dataCentre, List.of());
-        List<String> candidates = new ArrayList<>(Rendezvous.order(self, collectors));
-        collectorOrderByDataCentre.getOrDefault(dataCentre, List.of()).stream()
-                .filter(name -> !candidates.contains(name) && !name.equals(self))
-                .forEach(candidates::add);
-        return candidates.stream().filter(name -> !excluded.contains(name)).findFirst();
+        return Optional.empty();
+    }
+
+    /**
+     * Returns whether two views lead to the same plan.
+     *
+     * @param before a membership view
+     * @param after another membership view
+     * @return true if names, states and data centres are equal, in the same order
+     */
+    public static boolean isSame(List<Member> before, List<Member> after) {
+        if (before.size() != after.size()) {
+            return false;
+        }
+        for (int i = 0; i < before.size(); i++) {
+            Member one = before.get(i);
+            Member other = after.get(i);
+            boolean isEqual = one == other
+                    || one.state() == other.state()
+                            && one.name().equals(other.name())
+                            && one.payload().dataCentre().equals(other.payload().dataCentre());
+            if (!isEqual) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /**
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/collect/CollectorPlanTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/collect/CollectorPlanTest.java
@@ -33,6 +33,25 @@
         assertThat(plan.collector(Set.of())).isEmpty();
     }
 
+    /** Guards against a new plan, which takes time in proportion to the fleet, for each load that a member publishes. */
+    @Test
+    void aViewInWhichOnlyPayloadsHaveChangedLeadsToTheSamePlan() {
+        List<Member> before = fleet(86);
+        assertThat(CollectorPlan.isSame(before, withMember(before, 3, "other load", MemberState.ALIVE)))
+                .isTrue();
+        assertThat(CollectorPlan.isSame(before, withMember(before, 3, "", MemberState.SUSPECT)))
+                .isFalse();
+        assertThat(CollectorPlan.isSame(before, fleet(85))).isFalse();
+    }
+
+    private static List<Member> withMember(List<Member> view, int index, String clientAddress, MemberState state) {
+        List<Member> changed = new ArrayList<>(view);
+        Member member = view.get(index);
+        Payload payload = new Payload(clientAddress, member.payload().dataCentre(), "region", 1, 0, 7);
+        changed.set(index, new Member(member.id(), member.address(), state, payload, 2, 0));
+        return changed;
+    }
+
     // If a report reached no collector, the load of its process would be missing from all sums. If it reached two, it
     // would count twice.
     @Property(tries = 100, seed = "7")
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -67,6 +67,9 @@
     /** Time without a report after which a collector or reporter is given up: twice the longest period. */
     private static final long REPORT_TIMEOUT_MILLIS = 1_000;
 
+    /** Reports of a process whose loop is behind are this many times as far apart as the loop is late. */
+    private static final long LAG_FACTOR = 4;
+
     /** How long an unresponsive collector is excluded. By then, membership has detected whether it is dead. */
     private static final long EXCLUSION_MILLIS = 5_000;
 
@@ -101,6 +104,7 @@
     private Peers peers;
     private PeerTransport transport;
     private List<Member> plannedView = List.of();
+    private final PlanSchedule planSchedule = new PlanSchedule();
     private CollectorPlan plan;
 
     /** Names of the other processes that are not dead according to membership. */
@@ -162,17 +166,29 @@
     }
 
     private long reportPeriodMillis() {
-        return plan == null || plan.isDirect()
+        long period = plan == null || plan.isDirect()
                 ? Math.max(MIN_DIRECT_PERIOD_MILLIS, DIRECT_PERIOD_MILLIS_PER_PEER * others.size())
                 : collectedPeriodMillis(reportedRows);
+        return Math.max(period, Math.min(MAX_COLLECTED_PERIOD_MILLIS, LAG_FACTOR * loop.lagMillis()));
+    }
+
+    /** Returns the time without a report after which a peer is given up. Its reports may wait for the loop of this process. */
+    private long reportTimeoutNanos() {
+        return (REPORT_TIMEOUT_MILLIS + LAG_FACTOR * loop.lagMillis()) * NANOS_PER_MILLI;
     }
 
     /** Returns true: reports are sent until the process ends. */
     private boolean sendReports() {
         long nowNanos = loop.nowNanos();
         List<Member> view = peers.view();
-        if (view != plannedView || plan == null) {
+        if (plan != null && view != plannedView && CollectorPlan.isSame(plannedView, view)) {
+            // Payloads and addresses have changed only.
+            plannedView = view;
+            view.forEach(member -> membersByName.put(member.name(), member));
+        }
+        if (plan == null || view != plannedView && planSchedule.isDue(view.size(), loop.lagMillis(), nowNanos)) {
             plannedView = view;
+            planSchedule.recordPlan(nowNanos);
             plan = CollectorPlan.of(peers.self(), view);
             publications
                     .followerElection()
@@ -247,7 +263,8 @@
     }
 
     private void reportByPlan(long nowNanos) {
-        reporters.values().removeIf(lastReport -> nowNanos - lastReport > REPORT_TIMEOUT_MILLIS * NANOS_PER_MILLI);
+        long timeoutNanos = reportTimeoutNanos();
+        reporters.values().removeIf(lastReport -> nowNanos - lastReport > timeoutNanos);
         List<CachedPrefixes.PartLocation> locations = state.cachedPrefixes().drainUnreported();
         String assigned = assignedCollector(nowNanos);
         reportedRows = 0;
@@ -294,8 +311,7 @@
         if (!assigned.equals(collector)) {
             collector = assigned;
             lastCollectorReportNanos = nowNanos;
-        } else if (!assigned.isEmpty()
-                && nowNanos - lastCollectorReportNanos > REPORT_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
+        } else if (!assigned.isEmpty() && nowNanos - lastCollectorReportNanos > reportTimeoutNanos()) {
             LOG.infof("collector %s says nothing, reporting to another one", assigned);
             excludedCollectors.put(assigned, nowNanos);
             return plan.collector(excludedCollectors.keySet()).orElse("");
