The audit trail of a router writes changes that come together in shared lines, when the loop has time

Change: changes are in memory at once as before; the log gets them in lines of up to 64 when the loop has caught up, at the latest after 10 s, and at the end of the process. After SIGKILL the log may lack the changes of that time. The audit file of the daemon is written at once.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditTrail.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/audit/AuditTrail.java
@@ -9,8 +9,10 @@
 import java.nio.file.StandardOpenOption;
 import java.time.Clock;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -22,7 +24,7 @@
 
 /**
  * Keeps the most recent changes in memory for the operators' interface, and writes each change to the log and, if
- * configured, to a file of JSON lines.
+ * configured, to a file of JSON lines. With deferral, changes that come together share lines of the log.
  */
 public final class AuditTrail implements Service {
     /** The name under which the kernel registers this service. */
@@ -34,12 +36,17 @@
      */
     private static final int MAX_EVENTS = 10_000;
 
+    /** Changes in one line of the log, which then stays below 16 KB. */
+    private static final int MAX_EVENTS_OF_LINE = 64;
+
     private static final Logger LOG = Logger.getLogger(AuditTrail.class);
 
     private final Clock clock;
     private final String file;
     private final JsonFactory json = new JsonFactory();
     private final Deque<AuditEvent> events = new ArrayDeque<>();
+    private final Consumer<Runnable> deferral;
+    private final List<AuditEvent> unwritten = new ArrayList<>();
     private long lastSequence;
 
     /**
@@ -49,8 +56,21 @@
      * @param file path of the audit file to append to, empty for none
      */
     public AuditTrail(Clock clock, String file) {
+        this(clock, file, Runnable::run);
+    }
+
+    /**
+     * Creates an empty audit trail that writes the log later. A process that joins a large fleet records some hundred
+     * changes at once.
+     *
+     * @param clock the wall clock that sets the time of events
+     * @param file path of the audit file to append to at once, empty for none
+     * @param deferral runs a task when the process has time for it, on any thread
+     */
+    public AuditTrail(Clock clock, String file, Consumer<Runnable> deferral) {
         this.clock = clock;
         this.file = file;
+        this.deferral = deferral;
     }
 
     @Override
@@ -79,7 +99,7 @@
 
     @Override
     public void stop() {
-        // Events are written immediately; there is nothing to flush.
+        writeLog();
     }
 
     /**
@@ -98,11 +118,23 @@
         if (events.size() > MAX_EVENTS) {
             events.removeFirst();
         }
-        String line = toJson(event);
-        LOG.info("audit " + line);
         if (!file.isEmpty()) {
-            appendOrLog(line);
+            appendOrLog(toJson(List.of(event)));
         }
+        unwritten.add(event);
+        if (unwritten.size() == 1) {
+            deferral.accept(this::writeLog);
+        } else if (unwritten.size() >= MAX_EVENTS) {
+            writeLog();
+        }
+    }
+
+    private synchronized void writeLog() {
+        for (int first = 0; first < unwritten.size(); first += MAX_EVENTS_OF_LINE) {
+            int end = Math.min(unwritten.size(), first + MAX_EVENTS_OF_LINE);
+            LOG.info("audit " + toJson(unwritten.subList(first, end)));
+        }
+        unwritten.clear();
     }
 
     /**
@@ -115,24 +147,31 @@
         return events.stream().filter(event -> event.sequence() > sequence).toList();
     }
 
-    private String toJson(AuditEvent event) {
+    /** Returns events as JSON objects, separated by spaces. */
+    private String toJson(List<AuditEvent> written) {
         StringWriter buffer = new StringWriter();
-        try (JsonGenerator object = json.createGenerator(buffer)) {
-            object.writeStartObject();
-            object.writeNumberField("sequence", event.sequence());
-            object.writeNumberField("atMillis", event.atMillis());
-            object.writeStringField("kind", event.kind().name());
-            object.writeStringField("subject", event.subject());
-            object.writeStringField("cause", event.cause());
-            object.writeStringField("before", event.before());
-            object.writeStringField("after", event.after());
-            object.writeEndObject();
+        try (JsonGenerator generator = json.createGenerator(buffer)) {
+            for (AuditEvent event : written) {
+                writeObject(generator, event);
+            }
         } catch (IOException e) {
             throw new UncheckedIOException("can't encode an audit event as JSON", e);
         }
         return buffer.toString();
     }
 
+    private static void writeObject(JsonGenerator object, AuditEvent event) throws IOException {
+        object.writeStartObject();
+        object.writeNumberField("sequence", event.sequence());
+        object.writeNumberField("atMillis", event.atMillis());
+        object.writeStringField("kind", event.kind().name());
+        object.writeStringField("subject", event.subject());
+        object.writeStringField("cause", event.cause());
+        object.writeStringField("before", event.before());
+        object.writeStringField("after", event.after());
+        object.writeEndObject();
+    }
+
     /** Logs a write error: a full or failed disk must not stop the daemon, and the event is in the log and in memory. */
     private void appendOrLog(String line) {
         try {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayLoop.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayLoop.java
@@ -27,6 +27,10 @@
     /** How long a measured lag is kept: about the period of the periodic timers. */
     private static final long LAG_RETENTION_NANOS = 100_000_000L;
 
+    private static final long IDLE_CHECK_MILLIS = 500;
+    private static final long MAX_IDLE_LAG_MILLIS = 20;
+    private static final int MAX_POSTPONEMENTS = 20;
+
     private final LoopResources resources = LoopResources.create("gateway", 1, 1, true);
     private final EventLoop loop = resources.onServer(false).next();
     private final Scheduler scheduler = Schedulers.fromExecutorService(loop, "gateway");
@@ -109,6 +113,26 @@
         schedule(task, TimeUnit.MILLISECONDS.toNanos(delayMillis));
     }
 
+    /**
+     * Runs a task later, when the loop has caught up with its work. Meant for work that no request waits for; a loop that
+     * stays behind runs it after some time all the same. May be called on any thread.
+     *
+     * @param task must not block; exceptions are logged
+     */
+    public void runWhenIdle(Runnable task) {
+        runWhenIdle(task, 0);
+    }
+
+    private void runWhenIdle(Runnable task, int postponements) {
+        runAfter(IDLE_CHECK_MILLIS, () -> {
+            if (postponements < MAX_POSTPONEMENTS && lagMillis() > MAX_IDLE_LAG_MILLIS) {
+                runWhenIdle(task, postponements + 1);
+            } else {
+                task.run();
+            }
+        });
+    }
+
     private void schedule(Runnable task, long delayNanos) {
         long dueNanos = nowNanos() + delayNanos;
         dueTimes.add(dueNanos);
