--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StorePosition.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/StorePosition.java
@@ -1,7 +1,5 @@
 package org.dotterelcourse.gateway.published;
 
-import java.util.Comparator;
-
 /**
  * A position in the history of the platform's store. If the store is restored from a backup, writes since the backup
  * are lost, their revisions are assigned again, and a new era begins.
@@ -13,12 +11,20 @@
     /** The position before the first read. */
     public static final StorePosition NONE = new StorePosition(0, 0);
 
-    private static final Comparator<StorePosition> ORDER =
-            Comparator.comparingLong(StorePosition::era).thenComparingLong(StorePosition::revision);
-
     @Override
     public int compareTo(StorePosition other) {
-        return ORDER.compare(this, other);
+        return era == other.era ? Long.compare(revision, other.revision) : Long.compare(era, other.era);
+    }
+
+    /* The generated methods of a record are linked when they are first called, which delays the start of a process. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StorePosition that && era == that.era && revision == that.revision;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(era) + Long.hashCode(revision);
     }
 
     /**
