A router that is behind rejects requests that have used half of their time, and begins new ones one by one

Cause: requests were forwarded in the order of their arrival as long as a millisecond was left.

Change: while the loop has a backlog, a request that has used half of its time is answered 503 with half a second at once, which is true: it has not run. While the loop is over 250 ms late, one waiting request begins for each turn to those that have begun.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -25,6 +25,7 @@
 import org.dotterelcourse.gateway.forward.Reply;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.routing.RoutingTable;
+import org.dotterelcourse.policy.start.BacklogWait;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.ChannelBindException;
@@ -190,7 +191,7 @@
                     inFlight.increment();
                     return readBody(request)
                             .flatMap(body -> startup.await(arrivalNanos, timeoutMillis(request))
-                                    .then(pacer.admit())
+                                    .then(pacer.admit(arrivalNanos, timeoutMillis(request)))
                                     .thenReturn(body))
                             .flatMap(body -> serve(request, response, body, arrivalNanos, log));
                 })
@@ -245,6 +246,11 @@
             return sendLocal(response, rejected.reply(), log);
         }
         Call.Attributes attributes = ((Admission.Decision.Admitted) decision).attributes();
+        boolean hasTime = BacklogWait.hasTimeLeft(arrivalNanos, attributes.deadlineNanos(), loop.nowNanos());
+        if (!hasTime && pacer.isBehind()) {
+            return sendLocal(
+                    response, LocalReply.notExecuted("the event loop is behind", BacklogWait.retryAfterMillis()), log);
+        }
         HttpHeaders forwardedHeaders = admission.forwardedRequestHeaders(headers);
         if (body.length > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
             forwardedHeaders.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestPacer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestPacer.java
@@ -1,11 +1,13 @@
 package org.dotterelcourse.gateway.edge;
 
-import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.Poller;
+import org.dotterelcourse.policy.start.BacklogWait;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -29,41 +31,78 @@
     private static final long POLL_DELAY_MILLIS = 1;
 
     private final GatewayLoop loop;
-    private final Set<MonoSink<Void>> pending = new LinkedHashSet<>();
+    private final Set<Waiting> pending = new LinkedHashSet<>();
     private final Poller poller;
     private boolean hasPolledConnections;
 
+    /** A waiting request, and until when it is worth forwarding. */
+    private static final class Waiting {
+        private final MonoSink<Void> sink;
+        private final long arrivalNanos;
+        private final long deadlineNanos;
+
+        private Waiting(MonoSink<Void> sink, long arrivalNanos, long timeoutMillis) {
+            this.sink = sink;
+            this.arrivalNanos = arrivalNanos;
+            this.deadlineNanos = arrivalNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        }
+
+        private boolean hasTimeLeft(long nowNanos) {
+            return BacklogWait.hasTimeLeft(arrivalNanos, deadlineNanos, nowNanos);
+        }
+    }
+
     RequestPacer(GatewayLoop loop) {
         this.loop = loop;
         this.poller = new Poller(loop, POLL_DELAY_MILLIS, this::admitBatch);
     }
 
-    /** Completes when a request may proceed, which is at once while the event loop has no backlog. */
-    Mono<Void> admit() {
-        return Mono.defer(() -> {
-            boolean hasNoBacklog = pending.isEmpty() && loop.lagMillis() < BACKLOG_THRESHOLD_MILLIS;
-            return hasNoBacklog ? Mono.empty() : Mono.create(this::enqueue);
-        });
+    /**
+     * Completes when a request may proceed: at once while the event loop has no backlog, otherwise in its turn, or when it has
+     * waited too long to be forwarded.
+     */
+    Mono<Void> admit(long arrivalNanos, long timeoutMillis) {
+        return Mono.defer(() -> isBehind()
+                ? Mono.create(sink -> enqueue(new Waiting(sink, arrivalNanos, timeoutMillis)))
+                : Mono.empty());
     }
 
-    private void enqueue(MonoSink<Void> sink) {
-        pending.add(sink);
-        sink.onDispose(() -> pending.remove(sink));
+    /** Returns whether the event loop has a backlog. */
+    boolean isBehind() {
+        return !pending.isEmpty() || loop.lagMillis() >= BACKLOG_THRESHOLD_MILLIS;
+    }
+
+    private void enqueue(Waiting request) {
+        pending.add(request);
+        request.sink.onDispose(() -> pending.remove(request));
         poller.start();
     }
 
+    /** Lets the requests proceed that have no time left; they are rejected. */
+    private void releaseLate(long nowNanos) {
+        List<Waiting> late =
+                pending.stream().filter(each -> !each.hasTimeLeft(nowNanos)).toList();
+        late.forEach(this::release);
+    }
+
+    private void release(Waiting request) {
+        // Releasing one request can end others, which are then no longer waiting.
+        if (pending.remove(request)) {
+            request.sink.success();
+        }
+    }
+
     /** Admits requests from the second run on, before which all connections have been polled. */
     private boolean admitBatch() {
         if (!hasPolledConnections) {
             hasPolledConnections = true;
             return true;
         }
-        long endNanos = loop.nowNanos() + BATCH_NANOS;
-        while (!pending.isEmpty() && loop.nowNanos() - endNanos < 0) {
-            Iterator<MonoSink<Void>> iterator = pending.iterator();
-            MonoSink<Void> sink = iterator.next();
-            iterator.remove();
-            sink.success();
+        long beginNanos = loop.nowNanos();
+        releaseLate(beginNanos);
+        int size = BacklogWait.batchSize(loop.lagMillis());
+        for (int i = 0; i < size && !pending.isEmpty() && loop.nowNanos() - beginNanos < BATCH_NANOS; i++) {
+            release(pending.iterator().next());
         }
         hasPolledConnections = !pending.isEmpty();
         return hasPolledConnections;
