Take-ups of streams without a record ask peers, and rely on the only known version only if the store confirms it

Cause: the only version that a process had seen was a proof as long as the process itself had run. A process that is cut off hears of nothing new.

Change: peers are asked first; that a peer knows a single version counts only if this process has seen no other. Without an answer, the own only version counts if the store confirms that nothing else has been published until then; one read of changes, shared by the take-ups that wait.

A machine whose store and peers are all away rejects take-ups now that it served before.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -31,6 +31,7 @@
 import org.dotterelcourse.gateway.forward.KeptPartReader;
 import org.dotterelcourse.gateway.forward.StreamVersionPeers;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
+import org.dotterelcourse.gateway.published.Publications;
 import org.dotterelcourse.policy.resumption.StreamKey;
 import org.dotterelcourse.policy.resumption.StreamVersionNotice;
 import org.dotterelcourse.policy.resumption.StreamVersionProof;
@@ -79,11 +80,15 @@
     private List<StreamVersionNotice> unsent = new ArrayList<>();
     private GatewayLoop loop;
     private GatewayState state;
+    private Publications publications;
     private final KeptPartReader reader;
     private Peers peers;
     private PeerTransport transport;
     private VersionKeepers keepers;
     private PartSurvey survey;
+    /** The view in which no peer is left that has to be told of open streams. */
+    private List<Member> handedOverView = List.of();
+
     private long lastQuery;
     private int ticks;
 
@@ -134,13 +139,20 @@
 
     @Override
     public List<ServiceName<?>> dependencies() {
-        return List.of(GatewayLoop.NAME, GatewayState.NAME, GatewayMetrics.NAME, Peers.NAME, Forwarder.NAME);
+        return List.of(
+                GatewayLoop.NAME,
+                GatewayState.NAME,
+                GatewayMetrics.NAME,
+                Publications.NAME,
+                Peers.NAME,
+                Forwarder.NAME);
     }
 
     @Override
     public List<StartupFailure> start(Kernel kernel) {
         loop = kernel.find(GatewayLoop.NAME);
         state = kernel.find(GatewayState.NAME);
+        publications = kernel.find(Publications.NAME);
         peers = kernel.find(Peers.NAME);
         transport = peers.transport();
         MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
@@ -235,11 +247,16 @@
 
     /** Tells peers that have just joined of this process's open streams: they know none, and others may have restarted too. */
     private void handOver() {
+        List<Member> view = peers.view();
+        if (view == handedOverView) {
+            return;
+        }
         Map<MemberId, Member> joined = new HashMap<>();
         keepers.others().forEach(peer -> joined.put(peer.id(), peer));
         handovers.keySet().retainAll(joined.keySet());
         joined.values().removeIf(peer -> handovers.merge(peer.id(), 1, Integer::sum) > HANDOVER_TICKS);
         if (joined.isEmpty()) {
+            handedOverView = view;
             return;
         }
         List<StreamVersionNotice> open =
@@ -274,6 +291,11 @@
         return survey.begin(upstream);
     }
 
+    @Override
+    public Mono<Boolean> confirmPublished() {
+        return publications.confirm();
+    }
+
     @Override
     public Mono<Optional<StreamVersionProof>> ask(StreamKey stream, StreamKey part, String upstream) {
         Set<Member> asked = new LinkedHashSet<>(keepers.of(stream));
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
@@ -127,16 +127,43 @@
             return Mono.delay(Duration.ofMillis(catchUpMillis + 1), loop.scheduler())
                     .then(Mono.defer(() -> find(call, resumedId)));
         }
-        Optional<StreamVersionProof> only = state.versionHistory(nowNanos)
+        asked.inc();
+        Question question = new Question(stream, ownPart(call, upstream), upstream);
+        return ask(question)
+                .flatMap(proof -> proof.isPresent() ? Mono.just(proof) : confirmOnlyVersion(upstream))
+                .flatMap(proof -> askAfterSurvey(call, question, proof, MAX_SURVEYED_ASKS));
+    }
+
+    /** Asks peers. That a peer has seen a single version proves nothing if this process has seen another one. */
+    private Mono<Optional<StreamVersionProof>> ask(Question question) {
+        return peers.ask(question.stream(), question.part(), question.upstream())
+                .map(proof -> proof.filter(
+                        each -> each.kind() != StreamVersionProof.Kind.ONLY_VERSION || isOnlySeen(each, question)));
+    }
+
+    private boolean isOnlySeen(StreamVersionProof proof, Question question) {
+        long nowNanos = loop.nowNanos();
+        return state.versionHistory(nowNanos)
+                .onlySeenVersion(question.upstream(), state.streamLifetimeNanos(), nowNanos)
+                .filter(proof.version()::equals)
+                .isPresent();
+    }
+
+    /**
+     * Returns the only version that this process has observed, if the store confirms that there is no other by now. A process
+     * that is cut off, or was a moment ago, does not know of workers that have joined, nor of the streams that began there.
+     */
+    private Mono<Optional<StreamVersionProof>> confirmOnlyVersion(String upstream) {
+        return onlyVersion(upstream).isEmpty()
+                ? Mono.just(Optional.empty())
+                : peers.confirmPublished().map(isConfirmed -> isConfirmed ? onlyVersion(upstream) : Optional.empty());
+    }
+
+    private Optional<StreamVersionProof> onlyVersion(String upstream) {
+        long nowNanos = loop.nowNanos();
+        return state.versionHistory(nowNanos)
                 .onlyVersion(upstream, state.streamLifetimeNanos(), nowNanos)
                 .map(version -> new StreamVersionProof(version, StreamVersionProof.Kind.ONLY_VERSION));
-        if (only.isPresent()) {
-            return Mono.just(only);
-        }
-        asked.inc();
-        StreamKey part = ownPart(call, upstream);
-        return peers.ask(stream, part, upstream)
-                .flatMap(proof -> askAfterSurvey(call, new Question(stream, part, upstream), proof, MAX_SURVEYED_ASKS));
     }
 
     /** What is asked about a stream. */
@@ -153,7 +180,7 @@
             return Mono.just(proof);
         }
         return Mono.delay(Duration.ofMillis(SURVEY_MILLIS), loop.scheduler())
-                .then(Mono.defer(() -> peers.ask(question.stream(), question.part(), question.upstream())))
+                .then(Mono.defer(() -> ask(question)))
                 .flatMap(next -> askAfterSurvey(call, question, next, left - 1));
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamVersionPeers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamVersionPeers.java
@@ -25,6 +25,11 @@
         public boolean surveyParts(String upstream) {
             return false;
         }
+
+        @Override
+        public Mono<Boolean> confirmPublished() {
+            return Mono.just(true);
+        }
     };
 
     /**
@@ -54,4 +59,11 @@
      * @return whether a survey is in progress, so that peers may soon know more
      */
     boolean surveyParts(String upstream);
+
+    /**
+     * Asks the store for the changes that this process does not know yet, and applies them.
+     *
+     * @return whether all that was published until this call is known now; false if the store does not answer
+     */
+    Mono<Boolean> confirmPublished();
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/published/Publications.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import org.dotterelcourse.daemon.kernel.Kernel;
 import org.dotterelcourse.daemon.kernel.Service;
@@ -10,6 +11,7 @@
 import org.dotterelcourse.daemon.kernel.StartupFailure;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import reactor.core.publisher.Mono;
 
 /**
  * Merges published items from the store and from peers and passes changes to the {@link ItemDecoder}. Not thread-safe;
@@ -45,6 +47,7 @@
     private boolean initialLoadComplete;
     private ReadListener readListener = (changes, after, upTo, hasNew) -> {};
     private Runnable snapshotListener = () -> {};
+    private Supplier<Mono<Boolean>> confirmation = () -> Mono.just(false);
 
     /** Listener for changes that this process has read from the store itself. */
     @FunctionalInterface
@@ -149,6 +152,25 @@
         snapshotListener = listener;
     }
 
+    /**
+     * Sets what reads the changes that this process does not know yet.
+     *
+     * @param source returns whether all changes until its call have been applied
+     */
+    public void setConfirmation(Supplier<Mono<Boolean>> source) {
+        confirmation = source;
+    }
+
+    /**
+     * Asks the store for the changes that this process does not know yet, and applies them. A process that follows peers is
+     * some tenths of a second behind the store, and any process is behind while it is cut off.
+     *
+     * @return whether all changes until this call are known now; false if the store does not answer
+     */
+    public Mono<Boolean> confirm() {
+        return Mono.defer(confirmation);
+    }
+
     /** Records that the store has responded after an outage, and delays deletions of leases from now on. */
     public void recordStoreRecovery() {
         holdDeletions(DELETION_HOLD_MILLIS);
