--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Membership.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Membership.java
@@ -28,9 +28,6 @@
     private static final int MAX_TIMEOUT_MULTIPLIER = 4;
     private static final int LEAVE_FAN_OUT = 5;
 
-    /** Bounds the part of its time that a process that is behind spends on its own gossip. */
-    private static final int LATENESS_FACTOR = 8;
-
     private static final int STARTUP_GRACE_PROBE_PERIODS = 10;
 
     private final MembershipSettings settings;
@@ -49,8 +46,7 @@
     private int timeoutMultiplier = 1;
 
     private long lastEventNanos;
-    private long lastTickNanos;
-    private long latenessNanos;
+    private final TickLateness lateness;
     private long nextGossipNanos;
 
     Membership(MembershipBuilder builder, long nowNanos) {
@@ -58,7 +54,7 @@
         random = builder.random;
         startNanos = nowNanos;
         lastEventNanos = nowNanos;
-        lastTickNanos = nowNanos;
+        lateness = new TickLateness(settings.tickNanos(), nowNanos);
         long startupGraceNanos = STARTUP_GRACE_PROBE_PERIODS * settings.probePeriodNanos();
         self = new LocalMember(builder.self, builder.address, builder.payload, nowNanos, startupGraceNanos);
         table = new MemberTable(settings.maxMembers());
@@ -156,7 +152,11 @@
     }
 
     private void tick(long nowNanos) {
-        detectLateness(nowNanos);
+        if (lateness.recordTick(nowNanos)) {
+            prober.postpone(lateness.nanos());
+            suspicions.postponeAll(lateness.nanos());
+            raiseTimeoutMultiplier();
+        }
         String failed = prober.tick(nowNanos, timeoutMultiplier);
         if (failed != null) {
             suspect(failed, nowNanos);
@@ -174,20 +174,6 @@
         }
     }
 
-    /**
-     * Detects that this process is behind: answers of others may wait to be read. Probes and suspects get as much more time,
-     * and the gossip of this process slows down, so that its own messages don't keep it behind.
-     */
-    private void detectLateness(long nowNanos) {
-        latenessNanos = Math.max(0, nowNanos - lastTickNanos - settings.tickNanos());
-        lastTickNanos = nowNanos;
-        if (latenessNanos > settings.tickNanos()) {
-            prober.postpone(latenessNanos);
-            suspicions.postponeAll(latenessNanos);
-            raiseTimeoutMultiplier();
-        }
-    }
-
     private void receive(MembershipEvent.Received received, long nowNanos) {
         MembershipMessage message = received.message();
         Update sender = message.self();
@@ -380,7 +366,7 @@
         if (gossip.isEmpty() || nowNanos - nextGossipNanos < 0) {
             return;
         }
-        nextGossipNanos = nowNanos + settings.gossipPeriodNanos() + LATENESS_FACTOR * latenessNanos;
+        nextGossipNanos = nowNanos + settings.gossipPeriodNanos() + lateness.gossipDelayNanos();
         sendGossip(settings.gossipFanOut());
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -249,7 +249,9 @@
         boolean hasTime = BacklogWait.hasTimeLeft(arrivalNanos, attributes.deadlineNanos(), loop.nowNanos());
         if (!hasTime && pacer.isBehind()) {
             return sendLocal(
-                    response, LocalReply.notExecuted("the event loop is behind", BacklogWait.retryAfterMillis()), log);
+                    response,
+                    LocalReply.notExecuted("the event loop is behind", BacklogWait.retryAfterMillis(loop.lagMillis())),
+                    log);
         }
         HttpHeaders forwardedHeaders = admission.forwardedRequestHeaders(headers);
         if (body.length > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestPacer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RequestPacer.java
@@ -100,8 +100,7 @@
         }
         long beginNanos = loop.nowNanos();
         releaseLate(beginNanos);
-        int size = BacklogWait.batchSize(loop.lagMillis());
-        for (int i = 0; i < size && !pending.isEmpty() && loop.nowNanos() - beginNanos < BATCH_NANOS; i++) {
+        while (!pending.isEmpty() && loop.nowNanos() - beginNanos < BATCH_NANOS) {
             release(pending.iterator().next());
         }
         hasPolledConnections = !pending.isEmpty();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/FleetExchange.java
@@ -46,43 +46,12 @@
     private static final Logger LOG = Logger.getLogger(FleetExchange.class);
     private static final String LOADS = "gateway-loads";
 
-    /**
-     * Shortest report period: about the duration of a request to a plain service. With a shorter one, reports would be
-     * mostly about requests that have ended.
-     */
-    private static final long MIN_DIRECT_PERIOD_MILLIS = 50;
-
-    /** Report period per peer in a fleet without collectors; limits each process to some 140 reports a second. */
-    private static final long DIRECT_PERIOD_MILLIS_PER_PEER = 7;
-
-    /**
-     * Report period in a fleet with collectors. A change reaches all processes in up to three hops, 0.15 s on average,
-     * well below the time that an engine needs for a long prompt.
-     */
-    private static final long COLLECTED_PERIOD_MILLIS = 100;
-
     /** Period of unchanged reports, which are repeated so that they don't expire at the peers. */
     private static final long UNCHANGED_PERIOD_MILLIS = 500;
 
-    /** Time without a report after which a collector or reporter is given up: twice the longest period. */
-    private static final long REPORT_TIMEOUT_MILLIS = 1_000;
-
-    /** Reports of a process whose loop is behind are this many times as far apart as the loop is late. */
-    private static final long LAG_FACTOR = 4;
-
     /** How long an unresponsive collector is excluded. By then, membership has detected whether it is dead. */
     private static final long EXCLUSION_MILLIS = 5_000;
 
-    /**
-     * Workers in a report up to which its period is {@link #COLLECTED_PERIOD_MILLIS}. With more, the period grows in
-     * proportion, so that collectors convert the same number of rows a second in any fleet, at most to {@link
-     * #MAX_COLLECTED_PERIOD_MILLIS}.
-     */
-    private static final int ROWS_PER_PERIOD = 400;
-
-    /** Longest report period: below {@link #UNCHANGED_PERIOD_MILLIS}, and below half of {@link #REPORT_TIMEOUT_MILLIS}. */
-    private static final long MAX_COLLECTED_PERIOD_MILLIS = 400;
-
     /** Receivers for which reports become due together. */
     private enum Receivers {
         ALL,
@@ -153,7 +122,7 @@
         transport.registerHandler(
                 LOADS, message -> loop.execute(() -> receive(message.sender().name(), message.body())));
         Poller reports = new Poller(run -> loop.runAtNextMultiple(reportPeriodMillis(), run), this::sendReports);
-        loop.runAfter(MIN_DIRECT_PERIOD_MILLIS, () -> {
+        loop.runAfter(ReportPeriods.MIN_DIRECT_MILLIS, () -> {
             reports.start();
             sendReports();
         });
@@ -166,15 +135,9 @@
     }
 
     private long reportPeriodMillis() {
-        long period = plan == null || plan.isDirect()
-                ? Math.max(MIN_DIRECT_PERIOD_MILLIS, DIRECT_PERIOD_MILLIS_PER_PEER * others.size())
-                : collectedPeriodMillis(reportedRows);
-        return Math.max(period, Math.min(MAX_COLLECTED_PERIOD_MILLIS, LAG_FACTOR * loop.lagMillis()));
-    }
-
-    /** Returns the time without a report after which a peer is given up. Its reports may wait for the loop of this process. */
-    private long reportTimeoutNanos() {
-        return (REPORT_TIMEOUT_MILLIS + LAG_FACTOR * loop.lagMillis()) * NANOS_PER_MILLI;
+        return plan == null || plan.isDirect()
+                ? ReportPeriods.directMillis(others.size(), loop.lagMillis())
+                : ReportPeriods.collectedMillis(reportedRows, loop.lagMillis());
     }
 
     /** Returns true: reports are sent until the process ends. */
@@ -218,12 +181,6 @@
         return true;
     }
 
-    /** Returns the report period in a fleet with collectors, for reports with the given number of workers. */
-    static long collectedPeriodMillis(int rows) {
-        long periods = (rows + ROWS_PER_PERIOD - 1) / ROWS_PER_PERIOD;
-        return Math.min(MAX_COLLECTED_PERIOD_MILLIS, COLLECTED_PERIOD_MILLIS * Math.max(1, periods));
-    }
-
     private boolean isOther(Member member) {
         return !member.name().equals(peers.self()) && member.state() != MemberState.DEAD;
     }
@@ -263,7 +220,7 @@
     }
 
     private void reportByPlan(long nowNanos) {
-        long timeoutNanos = reportTimeoutNanos();
+        long timeoutNanos = ReportPeriods.timeoutNanos(loop.lagMillis());
         reporters.values().removeIf(lastReport -> nowNanos - lastReport > timeoutNanos);
         List<CachedPrefixes.PartLocation> locations = state.cachedPrefixes().drainUnreported();
         String assigned = assignedCollector(nowNanos);
@@ -311,7 +268,8 @@
         if (!assigned.equals(collector)) {
             collector = assigned;
             lastCollectorReportNanos = nowNanos;
-        } else if (!assigned.isEmpty() && nowNanos - lastCollectorReportNanos > reportTimeoutNanos()) {
+        } else if (!assigned.isEmpty()
+                && nowNanos - lastCollectorReportNanos > ReportPeriods.timeoutNanos(loop.lagMillis())) {
             LOG.infof("collector %s says nothing, reporting to another one", assigned);
             excludedCollectors.put(assigned, nowNanos);
             return plan.collector(excludedCollectors.keySet()).orElse("");
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -14,7 +14,6 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
-import org.dotterelcourse.coordination.MemberId;
 import org.dotterelcourse.coordination.membership.Member;
 import org.dotterelcourse.coordination.transport.PeerMessage;
 import org.dotterelcourse.coordination.transport.PeerTransport;
@@ -71,12 +70,9 @@
     /** Ticks between two questions to peers whether they vouch for the only version that this process has seen. */
     private static final int VOUCHER_TICKS = 4;
 
-    /** Ticks in which a peer that has joined is told of open streams; messages may be lost. */
-    private static final int HANDOVER_TICKS = 2;
-
     private final Map<Long, Query> queries = new HashMap<>();
     private final Map<String, OwnStreamNotices> ownNotices = new HashMap<>();
-    private final Map<MemberId, Integer> handovers = new HashMap<>();
+    private final Handovers handovers = new Handovers();
     private List<StreamVersionNotice> unsent = new ArrayList<>();
     private GatewayLoop loop;
     private GatewayState state;
@@ -86,9 +82,6 @@
     private PeerTransport transport;
     private VersionKeepers keepers;
     private PartSurvey survey;
-    /** The view in which no peer is left that has to be told of open streams. */
-    private List<Member> handedOverView = List.of();
-
     private long lastQuery;
     private int ticks;
 
@@ -247,21 +240,13 @@
 
     /** Tells peers that have just joined of this process's open streams: they know none, and others may have restarted too. */
     private void handOver() {
-        List<Member> view = peers.view();
-        if (view == handedOverView) {
-            return;
-        }
-        Map<MemberId, Member> joined = new HashMap<>();
-        keepers.others().forEach(peer -> joined.put(peer.id(), peer));
-        handovers.keySet().retainAll(joined.keySet());
-        joined.values().removeIf(peer -> handovers.merge(peer.id(), 1, Integer::sum) > HANDOVER_TICKS);
+        List<Member> joined = handovers.due(peers.view(), peers.self());
         if (joined.isEmpty()) {
-            handedOverView = view;
             return;
         }
         List<StreamVersionNotice> open =
                 ownNotices.values().stream().flatMap(OwnStreamNotices::all).toList();
-        joined.values().forEach(peer -> sendNotices(peer, keepers.keptBy(peer, open, StreamVersionNotice::stream)));
+        joined.forEach(peer -> sendNotices(peer, keepers.keptBy(peer, open, StreamVersionNotice::stream)));
     }
 
     private void enqueue(StreamVersionNotice notice) {
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/start/BacklogWait.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/start/BacklogWait.java
@@ -9,24 +9,16 @@
     /** A request that has waited for a longer part of its time is left to a process that is less busy. */
     private static final int TIMEOUT_DIVISOR = 2;
 
-    /** Time after which a rejected client should retry: by then its addresses reflect which processes are busy. */
-    private static final long RETRY_AFTER_MILLIS = 500;
+    /** Shortest time after which a rejected client should retry: by then its addresses reflect which processes are busy. */
+    private static final long MIN_RETRY_AFTER_MILLIS = 500;
 
-    /** Lateness of the event loop above which requests that have begun come before new ones. */
-    private static final long MAX_LAG_MILLIS = 250;
+    /** Clients follow a time of up to a third of what they have left, 10 s at most. */
+    private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
 
-    private BacklogWait() {}
+    /** Rejecting a request takes its part of the loop, too, so that clients stay away for longer from one that is later. */
+    private static final long LAG_FACTOR = 4;
 
-    /**
-     * Returns how many waiting requests may begin before the event loop has turned to the others again. Each one needs the
-     * loop several times until its end; if all began at once, none would end in time.
-     *
-     * @param lagMillis how late the event loop is, in milliseconds
-     * @return 1 if the loop is far behind, otherwise no limit
-     */
-    public static int batchSize(long lagMillis) {
-        return lagMillis > MAX_LAG_MILLIS ? 1 : Integer.MAX_VALUE;
-    }
+    private BacklogWait() {}
 
     /**
      * Returns whether a request that has waited for the event loop has enough time left to be forwarded.
@@ -43,9 +35,10 @@
     /**
      * Returns after which time a rejected client should retry.
      *
-     * @return milliseconds
+     * @param lagMillis how late the event loop is, in milliseconds
+     * @return milliseconds, more the later the loop is
      */
-    public static long retryAfterMillis() {
-        return RETRY_AFTER_MILLIS;
+    public static long retryAfterMillis(long lagMillis) {
+        return Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, LAG_FACTOR * lagMillis));
     }
 }
