--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/TickLateness.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/TickLateness.java
@@ -5,6 +5,9 @@
     /** Bounds the part of its time that a process that is behind spends on its own gossip. */
     private static final int GOSSIP_FACTOR = 8;
 
+    /** After a pause, however long, a process must tell others soon that it lives. */
+    private static final long MAX_GOSSIP_DELAY_NANOS = 3_000_000_000L;
+
     private final long tickNanos;
     private long lastTickNanos;
     private long latenessNanos;
@@ -28,6 +31,6 @@
 
     /** Returns the time in nanoseconds by which rounds of gossip are further apart. */
     long gossipDelayNanos() {
-        return GOSSIP_FACTOR * latenessNanos;
+        return Math.min(GOSSIP_FACTOR * latenessNanos, MAX_GOSSIP_DELAY_NANOS);
     }
 }
