A restart of a process leads to a new plan, and to reminders of what is held

By reading: since a view in which only payloads change keeps the plan, a process that was back under its name before it was suspected counted as no change, and limits and held requests were said to it only with the next periodic reminder. Views are compared by name and incarnation. CollectorPlanTest has the case; it fails with names alone by construction.

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/collect/CollectorPlan.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/collect/CollectorPlan.java
@@ -171,11 +171,11 @@
     }
 
     /**
-     * Returns whether two views lead to the same plan.
+     * Returns whether two views lead to the same plan, and no member has started in between, which knows nothing of before.
      *
      * @param before a membership view
      * @param after another membership view
-     * @return true if names, states and data centres are equal, in the same order
+     * @return true if identities, states and data centres are equal, in the same order
      */
     public static boolean isSame(List<Member> before, List<Member> after) {
         if (before.size() != after.size()) {
@@ -186,7 +186,7 @@
             Member other = after.get(i);
             boolean isEqual = one == other
                     || one.state() == other.state()
-                            && one.name().equals(other.name())
+                            && one.id().equals(other.id())
                             && one.payload().dataCentre().equals(other.payload().dataCentre());
             if (!isEqual) {
                 return false;
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/collect/CollectorPlanTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/collect/CollectorPlanTest.java
@@ -41,6 +41,18 @@
                 .isTrue();
         assertThat(CollectorPlan.isSame(before, withMember(before, 3, "", MemberState.SUSPECT)))
                 .isFalse();
+        List<Member> restarted = new ArrayList<>(before);
+        Member old = before.get(3);
+        restarted.set(
+                3,
+                new Member(
+                        new MemberId(old.name(), old.id().incarnation() + 1),
+                        old.address(),
+                        old.state(),
+                        old.payload(),
+                        1,
+                        0));
+        assertThat(CollectorPlan.isSame(before, restarted)).isFalse();
         assertThat(CollectorPlan.isSame(before, fleet(85))).isFalse();
     }
 
