A response has a status of 100 to 599, version 1.x and a known framing

What callers saw: a worker's answer with the status 000 came through as "HTTP/1.1 0 Unknown Status (0)"; the same for 001, 099 and 600 to 999, for HTTP/0.9, 2.0 and 9.9 before a 200, and for bodies of an unknown transfer coding, passed on undecoded.

Cause: ResponseHeadScanner, which decides whether bytes are a head, took any three digits and any digits of the version. Transfer-Encoding was only counted: the ordinary decoder takes a coding that is not "chunked" for none, and drops a length beside it.

Change: the scanner takes HTTP/1.x and 100 to 599 (RFC 9112, 2.3; RFC 9110, 15). A transfer encoding must be "chunked" alone, without a length, else the end of the body is unknown (RFC 9112, 6.1 and 6.3): new kind UNKNOWN_FRAMING with its log line and counter unknown-framing. All connections with the codec share this: workers, peers, store, lists of kept parts, the daemon's engines and services. The tool has an ordinary client and gets the same check (ResponseCheck). A second status line inside a head is still found whatever its digits. Nothing of such a response is believed, since it never reaches a receiver; the request may have run (502).

Ruled out: checks where a status is read as a number, which are many and would each be forgotten once.

"chunked, any" and a coding in HTTP/1.0 were rejected before too.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseDecoder.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -198,34 +199,53 @@
             return;
         }
         switch (matcher.match(requestId, response.headers())) {
-            case OWN -> acceptUnlessAmbiguous(context, data, response);
+            case OWN -> acceptIfFramed(context, data, response);
             case FOREIGN -> skip(context, data, response);
             case UNIDENTIFIED -> {
                 if (exchangeCount > 1) {
                     reject(context, data, Kind.FOREIGN_RESPONSE, "no id on a used connection");
                 } else {
                     Connection.from(context.channel()).markPersistent(false);
-                    acceptUnlessAmbiguous(context, data, response);
+                    acceptIfFramed(context, data, response);
                 }
             }
             default -> reject(context, data, Kind.JOINED_HEADS, "contradictory headers");
         }
     }
 
-    private void acceptUnlessAmbiguous(ChannelHandlerContext context, ByteBuf data, HttpResponse response) {
+    private void acceptIfFramed(ChannelHandlerContext context, ByteBuf data, HttpResponse response) {
         HttpHeaders headers = response.headers();
         if (headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1
                 || headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).size() > 1) {
             reject(context, data, Kind.JOINED_HEADS, "several lengths or transfer encodings");
+        } else if (!isFramingKnown(response)) {
+            reject(context, data, Kind.UNKNOWN_FRAMING, "its transfer encoding is not understood");
         } else {
             state = State.BODY;
         }
     }
 
+    /** Returns whether the end of the body can be known: without a transfer encoding, or with one by RFC 9112, 6.1. */
+    private static boolean isFramingKnown(HttpResponse response) {
+        String encoding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
+        return encoding == null
+                || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding)
+                        && !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                        && response.protocolVersion().minorVersion() > 0;
+    }
+
+    /** Keeps both headers, which an ordinary decoder reduces to one, so that the response can be rejected. */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        // Nothing is removed.
+    }
+
     /** Skips a response to another request if its own framing shows where it ends. */
     private void skip(ChannelHandlerContext context, ByteBuf data, HttpResponse response) {
         boolean isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        if (!isFramed && !super.isContentAlwaysEmpty(response) || method.equals(HttpMethod.HEAD)) {
+        if (!isFramingKnown(response)
+                || !isFramed && !super.isContentAlwaysEmpty(response)
+                || method.equals(HttpMethod.HEAD)) {
             reject(
                     context,
                     data,
@@ -309,6 +329,7 @@
         return switch (kind) {
             case INVALID_HEAD -> "response has an invalid head: " + detail;
             case JOINED_HEADS -> "response has two heads in one: " + detail;
+            case UNKNOWN_FRAMING -> "response has an unknown framing: " + detail;
             case FOREIGN_RESPONSE -> "response is for another request: " + detail;
             default -> "response is not valid: " + detail;
         };
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseFault.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseFault.java
@@ -23,9 +23,12 @@
         String detail) {
     /** Kinds of violations. */
     public enum Kind {
-        /** The bytes are not the head of an HTTP/1.1 response. */
+        /** The bytes are not the head of an HTTP/1.x response with a status of 100 to 599. */
         INVALID_HEAD,
 
+        /** The head does not show where the body ends: a transfer coding other than one "chunked", or one beside a length. */
+        UNKNOWN_FRAMING,
+
         /** A head contains a second status line, or states several times what can be stated once. */
         JOINED_HEADS,
 
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/StatusLineScanner.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/StatusLineScanner.java
@@ -1,10 +1,16 @@
 package org.dotterelcourse.daemon.http.exchange;
 
-/** Finds the beginning of a status line, such as {@code HTTP/1.1 200}, in bytes that arrive one by one. */
+/**
+ * Finds the beginning of a status line, such as {@code HTTP/1.1 200}, in bytes that arrive one by one; of any version and
+ * status, since a faulty server may send invalid ones.
+ */
 final class StatusLineScanner {
     /** A hash sign stands for any digit. */
     private static final String PATTERN = "HTTP/#.# ###";
 
+    private static final int MAJOR_VERSION_INDEX = PATTERN.indexOf('#');
+    private static final int STATUS_CLASS_INDEX = PATTERN.lastIndexOf(' ') + 1;
+
     private int matched;
 
     /**
@@ -34,8 +40,17 @@
         matched = 0;
     }
 
-    /** Returns whether a byte is allowed at a position of the beginning of a status line. */
+    /**
+     * Returns whether a byte is allowed at a position of the beginning of a valid status line: the version is 1.x (RFC 9112,
+     * 2.3) and the status is 100 to 599 (RFC 9110, 15).
+     */
     static boolean isExpected(byte value, int position) {
+        if (position == MAJOR_VERSION_INDEX) {
+            return value == '1';
+        }
+        if (position == STATUS_CLASS_INDEX) {
+            return value >= '1' && value <= '5';
+        }
         return matches(value, PATTERN.charAt(position));
     }
 
--- a/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/http/exchange/ExchangeCodecTest.java
+++ b/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/http/exchange/ExchangeCodecTest.java
@@ -143,6 +143,53 @@
         assertRejected(kind);
     }
 
+    // Guards against a body that is passed on undecoded, or ended too early, because its framing is not understood.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: any",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked;q=1",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding:",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5"
+            })
+    void aResponseOfAnUnknownFramingIsNotDelivered(String head) {
+        connection.send("1").receive(head + "\r\nId: 1\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        assertThat(connection.deliveries()).isEmpty();
+        assertRejected(Kind.UNKNOWN_FRAMING);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, any",
+                "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked"
+            })
+    void aResponseWhoseTransferEncodingIsInvalidIsNotDelivered(String head) {
+        connection.send("1").receive(head + "\r\nId: 1\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        assertThat(connection.deliveries()).isEmpty();
+        assertRejected(Kind.INVALID_HEAD);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked", "Chunked", "CHUNKED  "})
+    void theNameOfATransferCodingIsRecognizedInAnyCase(String coding) {
+        connection
+                .send("1")
+                .receive(
+                        "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: " + coding + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        assertDelivered(200, "hello");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"any", "chunked, chunked"})
+    void aResponseToAnotherRequestWithAnUnknownFramingIsNotSkipped(String coding) {
+        connection.send("1").receive("HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + HELLO);
+        assertThat(connection.deliveries()).isEmpty();
+        assertRejected(Kind.FOREIGN_RESPONSE);
+    }
+
     @Test
     void twoLengthsOfTheSameValueAreNotDelivered() {
         connection.send("1").receive("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello");
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ResponseFaultLog.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ResponseFaultLog.java
@@ -123,6 +123,7 @@
         return switch (kind) {
             case INVALID_HEAD -> "sent a head that can't be decoded";
             case JOINED_HEADS -> "sent two response heads in one";
+            case UNKNOWN_FRAMING -> "sent a response whose end can't be known";
             case INVALID_BODY -> "sent a body with invalid framing";
             case FOREIGN_RESPONSE -> "sent a response that is not for the request in flight";
             case UNSOLICITED_DATA -> "sent data while no request was in flight";
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/LateAnswersOfPeersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/LateAnswersOfPeersTest.java
@@ -106,6 +106,21 @@
         assertThat(result).isEqualTo("error");
     }
 
+    // Guards against an invalid status or framing of a peer that is passed on, or whose "not executed" is believed.
+    @ParameterizedTest
+    @ValueSource(strings = {"000 responded", "600 responded", "000 not-executed", "999 unknown"})
+    void anAnswerOfAPeerWithAnInvalidStatusIsNotBelieved(String answer) {
+        Call call = relay(
+                2, (request, number) -> answer(id(request), answer.substring(0, 3), answer.substring(4), "invalid"));
+        assertThat(lastResult).isEqualTo("error");
+        assertThat(call.triedWorkers()).isEmpty();
+        relay(
+                2,
+                (request, number) -> answer(id(request), "200", "responded", "own")
+                        .replace("Content-Length: 0", "Transfer-Encoding: any"));
+        assertThat(lastResult).isEqualTo("error");
+    }
+
     /** Relays requests to a peer until one uses a kept connection, and returns its call. */
     private Call relay(BiFunction<Request, Integer, String> peer) {
         return relay(MAX_CALLS, peer);
--- a/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/DaemonClient.java
+++ b/dotterelcourse-tool/src/main/java/org/dotterelcourse/tool/DaemonClient.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.resolver.NoopAddressResolverGroup;
 import reactor.core.publisher.Mono;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 
 /** Calls the operators' interface of daemons. */
@@ -17,6 +18,8 @@
 
     private final HttpClient http = HttpClient.newConnection()
             .resolver(NoopAddressResolverGroup.INSTANCE)
+            .doOnChannelInit((observer, channel, address) ->
+                    channel.pipeline().addAfter(NettyPipeline.HttpCodec, ResponseCheck.NAME, new ResponseCheck()))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .responseTimeout(ANSWER_TIMEOUT);
 
--- a/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/DaemonCommandsTest.java
+++ b/dotterelcourse-tool/src/test/java/org/dotterelcourse/tool/DaemonCommandsTest.java
@@ -5,12 +5,16 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.dotterelcourse.standins.RawAnswerServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -116,6 +120,26 @@
         assertThat(drain.json().get(0).get("draining").asBoolean()).isFalse();
     }
 
+    // Guards against an answer with an invalid status line or an unknown framing that is shown as a daemon's state.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 None\r\nContent-Length: 2",
+                "HTTP/1.1 600 Any\r\nContent-Length: 2",
+                "HTTP/2.0 200 OK\r\nContent-Length: 2",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: any"
+            })
+    void aDaemonWhoseAnswerIsNoHttpResponseIsReportedAsUnreachable(String head) {
+        try (RawAnswerServer server = new RawAnswerServer(request ->
+                new RawAnswerServer.Answer(head + "\r\n\r\n[]", 1 << 16, Optional.of(RawAnswerServer.End.FIN)))) {
+            ToolRun run = ToolRun.of(
+                    "classes", "--daemon", "127.0.0.1:" + server.address().getPort());
+            assertThat(run.code()).isEqualTo(ExitCode.UNREACHABLE);
+            assertThat(run.err() + run.out())
+                    .contains("127.0.0.1:" + server.address().getPort(), "no HTTP/1.x response");
+        }
+    }
+
     /**
      * The tool is newer than a daemon and asks for what that one doesn't know. The operator sees the daemon's answer, and
      * does not take an empty table for the truth.
