A body that ends with its connection is whole only if the connection ended in order

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written; the client got that part as a complete answer.

Cause: a socket reports a reset once, to whichever call meets it first. If that is a write, the transport closes the connection, and the decoder takes any close without an error as the end of the body; the HTTP client also completes the body when its request fails after the head of the response.

Change: the decoder does not infer the end from a closed connection, it needs the event that the server has ended its side. For this the connections allow half-closure; they are still closed at that event. A write that fails, or a read, before that event makes the response a truncated one, with the log line and counter it has had. If the server ends its side while the request is not written whole yet, the end is delivered once it is, and not at all if that fails: a server that reads the request to its end has ended in order, one that was closed or has crashed resets what arrives later. Which of both is noticed first makes no difference.

A response that is complete by its own framing stays whole, but its connection is not reused if its request is not written whole: the next request was sent behind the rest of the upload and lost with it (502), or waited for a server that no longer reads.

Streams, streams that are taken up again, relayed requests, the store and the daemon's engines share the codec.

Ruled out: looking for the failed write where the body is collected. It would miss streams and all other receivers, and the order of both signals there is the HTTP client's.

CodecFixture.end() plays the transport's event of an orderly end in place of a closed channel, which now is the opposite, breakOff().

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ExchangeCodec.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ExchangeCodec.java
@@ -5,10 +5,12 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import reactor.netty.NettyPipeline;
 
 /**
@@ -16,6 +18,9 @@
  * head, and identifies that request ({@link ResponseMatcher}); otherwise the connection is closed, and the request, which
  * may have been executed, fails with an {@link InvalidResponseException}. Some servers send a second response, whole or
  * not, late or at once: an ordinary codec reads its beginning and the next response as one head.
+ *
+ * <p>A response that ends with its connection is whole only if the server ended the connection in order and the request was
+ * written without an error.
  */
 public final class ExchangeCodec extends CombinedChannelDuplexHandler<ResponseDecoder, HttpRequestEncoder> {
     private final ResponseDecoder decoder;
@@ -43,6 +48,8 @@
      * @param listener is notified of each violation of the framing
      */
     public static void install(Channel channel, ResponseMatcher matcher, ResponseFaultListener listener) {
+        // The end of the server's side is an event of its own then, which differs from a connection that fails.
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         channel.pipeline()
                 .replace(NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, new ExchangeCodec(matcher, listener));
     }
@@ -58,6 +65,19 @@
         return codec == null ? 0 : codec.decoder.exchangeCount();
     }
 
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
+        boolean isLast = message instanceof LastHttpContent;
+        ChannelPromise observed = promise.unvoid().addListener(written -> {
+            if (!written.isSuccess()) {
+                decoder.failRequest(context);
+            } else if (isLast) {
+                decoder.endRequest(context);
+            }
+        });
+        super.write(context, message, observed);
+    }
+
     @Override
     public void close(ChannelHandlerContext context, ChannelPromise promise) throws Exception {
         decoder.endConnection();
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseDecoder.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseDecoder.java
@@ -5,16 +5,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.dotterelcourse.daemon.http.exchange.ResponseFault.Kind;
@@ -44,6 +41,12 @@
     private boolean hasSkipped;
     private boolean isTruncated;
 
+    private ResponseFraming framing = ResponseFraming.LENGTH;
+    private boolean isRequestWritten = true;
+
+    private boolean isInputEnded;
+    private boolean hasFailed;
+
     private enum State {
         /** No request is in flight. */
         IDLE,
@@ -75,12 +78,35 @@
         }
         state = State.HEAD;
         exchangeCount++;
+        isRequestWritten = false;
         skippedBytes = 0;
         skippedMessages = 0;
         requestId = matcher.requestId(request.headers());
         method = request.method();
     }
 
+    /** Notes that the request was written whole. */
+    void endRequest(ChannelHandlerContext context) {
+        isRequestWritten = true;
+        if (isInputEnded) {
+            context.close();
+        }
+    }
+
+    /**
+     * Notes that the request can't be written. A reset that a write meets first is not seen by any read, so that a response
+     * that has begun and not ended fails here.
+     */
+    void failRequest(ChannelHandlerContext context) {
+        boolean isBegun = state == State.BODY;
+        failConnection(context);
+        if (isBegun) {
+            state = State.CLOSED;
+            context.fireExceptionCaught(new InvalidResponseException(
+                    "connection failed while the request was written, before the response's end"));
+        }
+    }
+
     /** Notes that this side closes the connection. */
     void endConnection() {
         state = State.CLOSED;
@@ -118,13 +144,34 @@
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf data, List<Object> out) throws Exception {
         checkedObjects = out.size();
-        super.decodeLast(context, data, out);
-        checkDecoded(context, data, out);
+        if (isInputEnded && isRequestWritten && !hasFailed) {
+            super.decodeLast(context, data, out);
+            checkDecoded(context, data, out);
+        }
         reportTruncation(context, data.isReadable());
     }
 
+    /**
+     * Closes the connection after the server has ended its side, with which a body may end. As long as the request is not
+     * written whole it may still fail, and the response with it.
+     */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (!(event instanceof ChannelInputShutdownEvent)) {
+            super.userEventTriggered(context, event);
+            return;
+        }
+        isInputEnded = true;
+        boolean isAwaitingRequest =
+                state == State.BODY && framing == ResponseFraming.CONNECTION_END && !isRequestWritten && !hasFailed;
+        if (!isAwaitingRequest) {
+            context.close();
+        }
+    }
+
     /** Notes that the connection fails, before this side closes it for this reason. */
     void failConnection(ChannelHandlerContext context) {
+        hasFailed = true;
         reportTruncation(context, actualReadableBytes() > 0);
     }
 
@@ -214,26 +261,16 @@
     }
 
     private void acceptIfFramed(ChannelHandlerContext context, ByteBuf data, HttpResponse response) {
-        HttpHeaders headers = response.headers();
-        if (headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1
-                || headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).size() > 1) {
+        framing = ResponseFraming.of(response);
+        if (framing == ResponseFraming.AMBIGUOUS) {
             reject(context, data, Kind.JOINED_HEADS, "several lengths or transfer encodings");
-        } else if (!isFramingKnown(response)) {
+        } else if (framing == ResponseFraming.UNKNOWN) {
             reject(context, data, Kind.UNKNOWN_FRAMING, "its transfer encoding is not understood");
         } else {
             state = State.BODY;
         }
     }
 
-    /** Returns whether the end of the body can be known: without a transfer encoding, or with one by RFC 9112, 6.1. */
-    private static boolean isFramingKnown(HttpResponse response) {
-        String encoding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
-        return encoding == null
-                || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding)
-                        && !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                        && response.protocolVersion().minorVersion() > 0;
-    }
-
     /** Keeps both headers, which an ordinary decoder reduces to one, so that the response can be rejected. */
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
@@ -242,10 +279,11 @@
 
     /** Skips a response to another request if its own framing shows where it ends. */
     private void skip(ChannelHandlerContext context, ByteBuf data, HttpResponse response) {
-        boolean isFramed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        if (!isFramingKnown(response)
-                || !isFramed && !super.isContentAlwaysEmpty(response)
-                || method.equals(HttpMethod.HEAD)) {
+        framing = ResponseFraming.of(response);
+        boolean isFramed = framing == ResponseFraming.LENGTH
+                || framing == ResponseFraming.CHUNKS
+                || framing == ResponseFraming.CONNECTION_END && super.isContentAlwaysEmpty(response);
+        if (!isFramed || method.equals(HttpMethod.HEAD)) {
             reject(
                     context,
                     data,
@@ -276,6 +314,10 @@
     private void endMessage(ChannelHandlerContext context, ByteBuf data, boolean isValid) {
         if (state == State.BODY && isValid) {
             state = State.IDLE;
+            if (!isRequestWritten) {
+                // The server may never read the rest, nor what is sent behind it.
+                Connection.from(context.channel()).markPersistent(false);
+            }
             if (data.isReadable()) {
                 endConnection(context, data);
             }
--- a/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/http/exchange/CodecFixture.java
+++ b/dotterelcourse-daemon/src/test/java/org/dotterelcourse/daemon/http/exchange/CodecFixture.java
@@ -1,5 +1,6 @@
 package org.dotterelcourse.daemon.http.exchange;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -9,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -148,13 +150,47 @@
         return this;
     }
 
-    /** Plays the end of the connection by its server; the channel in memory stays open. */
+    /** Plays the end of the connection by its server, in order. */
     CodecFixture end() {
-        channel.pipeline().fireChannelInactive();
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
         channel.runPendingTasks();
         return this;
     }
 
+    /** Plays a reset that is met by a read, as the transport reports it. */
+    CodecFixture reset() {
+        channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+        return end();
+    }
+
+    /** Plays a connection that is closed for another reason than its end by the server. */
+    CodecFixture breakOff() {
+        channel.unsafe().close(channel.voidPromise());
+        channel.runPendingTasks();
+        return this;
+    }
+
+    /** Sends a request that stays in the buffers of this side until {@link #flushRequest()}. */
+    CodecFixture beginRequest(String id) {
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+        request.headers().set(ID, id);
+        channel.write(request);
+        return this;
+    }
+
+    /** Writes the request whole. */
+    CodecFixture flushRequest() {
+        channel.flush();
+        channel.runPendingTasks();
+        return this;
+    }
+
+    /** Plays a reset that is met by a write of the request, upon which the transport closes the connection. */
+    CodecFixture failRequest() {
+        channel.unsafe().outboundBuffer().addFlush();
+        return breakOff();
+    }
+
     List<Delivery> deliveries() {
         return deliveries;
     }
