Lines behind the last chunk that are no trailers make a body invalid

What callers saw (in a test): a body in chunks with a trailer whose name held a blank or was followed by one came through as a whole answer.

Cause: the ordinary decoder cuts the name of a trailer at the first blank, as older recipients did. Heads have been checked byte by byte before it sees them (ResponseHeadScanner); what follows the head was not.

Change: ChunkScanner checks sizes, line ends and trailers by the grammar of RFC 9112, 7.1 before the decoder gets them; data of chunks are passed over, so that a body costs nothing more. What is not by the grammar is INVALID_BODY, which has its log line and counter: the connection is closed, the request may have run. FieldBytes has the bytes of names and values, which both scanners use.

Ruled out: checking the names that the decoder delivers, since it has removed the fault from them.

Heads held already, and nothing is changed for them; InvalidFieldLinesTest keeps them: blank, tab, control bytes, 0x85 and a parenthesis in a name or before its colon, in lines of the framing too, an empty name, no colon, folded lines, control bytes and bare line ends in a value, in heads and interim heads.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/InvalidResponseException.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/InvalidResponseException.java
@@ -10,6 +10,18 @@
         super(message);
     }
 
+    static InvalidResponseException of(ResponseFault.Kind kind, String detail) {
+        String problem =
+                switch (kind) {
+                    case INVALID_HEAD -> "has an invalid head";
+                    case JOINED_HEADS -> "has two heads in one";
+                    case UNKNOWN_FRAMING -> "has an unknown framing";
+                    case FOREIGN_RESPONSE -> "is for another request";
+                    default -> "is not valid";
+                };
+        return new InvalidResponseException("response " + problem + ": " + detail);
+    }
+
     @Override
     public synchronized Throwable fillInStackTrace() {
         return this;
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseDecoder.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseDecoder.java
@@ -30,6 +30,7 @@
     private final ResponseMatcher matcher;
     private final ResponseFaultListener listener;
     private final ResponseHeadScanner heads = new ResponseHeadScanner();
+    private final ChunkScanner chunks = new ChunkScanner();
     private final StatusLineScanner skippedStatusLines = new StatusLineScanner();
     private State state = State.IDLE;
     private String requestId = "";
@@ -133,7 +134,7 @@
             case IDLE -> reject(context, data, Kind.UNSOLICITED_DATA, data.readableBytes() + " bytes");
             case HEAD -> decodeHead(context, data, out);
             case CLOSED -> data.skipBytes(data.readableBytes());
-            default -> super.decode(context, data, out);
+            default -> decodeBody(context, data, out);
         }
         checkDecoded(context, data, out);
         if (before == State.SKIPPED_BODY && state != State.CLOSED) {
@@ -208,6 +209,16 @@
         }
     }
 
+    private void decodeBody(ChannelHandlerContext context, ByteBuf data, List<Object> out) throws Exception {
+        if (framing == ResponseFraming.CHUNKS && !chunks.scan(data)) {
+            reject(context, data, Kind.INVALID_BODY, "invalid chunk or trailer");
+            return;
+        }
+        int begin = data.readerIndex();
+        super.decode(context, data, out);
+        chunks.recordDecoded(data.readerIndex() - begin);
+    }
+
     /** Checks what was decoded since the last call, and removes what does not belong to the response. */
     private void checkDecoded(ChannelHandlerContext context, ByteBuf data, List<Object> out) {
         while (checkedObjects < out.size()) {
@@ -261,7 +272,7 @@
     }
 
     private void acceptIfFramed(ChannelHandlerContext context, ByteBuf data, HttpResponse response) {
-        framing = ResponseFraming.of(response);
+        setFraming(response);
         if (framing == ResponseFraming.AMBIGUOUS) {
             reject(context, data, Kind.JOINED_HEADS, "several lengths or transfer encodings");
         } else if (framing == ResponseFraming.UNKNOWN) {
@@ -271,6 +282,11 @@
         }
     }
 
+    private void setFraming(HttpResponse response) {
+        framing = ResponseFraming.of(response);
+        chunks.reset();
+    }
+
     /** Keeps both headers, which an ordinary decoder reduces to one, so that the response can be rejected. */
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
@@ -279,7 +295,7 @@
 
     /** Skips a response to another request if its own framing shows where it ends. */
     private void skip(ChannelHandlerContext context, ByteBuf data, HttpResponse response) {
-        framing = ResponseFraming.of(response);
+        setFraming(response);
         boolean isFramed = framing == ResponseFraming.LENGTH
                 || framing == ResponseFraming.CHUNKS
                 || framing == ResponseFraming.CONNECTION_END && super.isContentAlwaysEmpty(response);
@@ -347,7 +363,7 @@
         state = State.CLOSED;
         data.skipBytes(data.readableBytes());
         if (isInFlight) {
-            context.fireExceptionCaught(new InvalidResponseException(describe(kind, detail)));
+            context.fireExceptionCaught(InvalidResponseException.of(kind, detail));
         }
         context.close();
     }
@@ -367,16 +383,6 @@
                 detail));
     }
 
-    private static String describe(Kind kind, String detail) {
-        return switch (kind) {
-            case INVALID_HEAD -> "response has an invalid head: " + detail;
-            case JOINED_HEADS -> "response has two heads in one: " + detail;
-            case UNKNOWN_FRAMING -> "response has an unknown framing: " + detail;
-            case FOREIGN_RESPONSE -> "response is for another request: " + detail;
-            default -> "response is not valid: " + detail;
-        };
-    }
-
     private static boolean isInterim(HttpResponse response) {
         return response.status().code() / 100 == 1;
     }
--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseHeadScanner.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseHeadScanner.java
@@ -13,18 +13,6 @@
     static final int MAX_BYTES =
             HttpObjectDecoder.DEFAULT_MAX_INITIAL_LINE_LENGTH + HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE;
 
-    private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
-    private static final boolean[] IS_TOKEN = new boolean[128];
-
-    static {
-        for (char c = 0; c < IS_TOKEN.length; c++) {
-            IS_TOKEN[c] = c >= '0' && c <= '9'
-                    || c >= 'A' && c <= 'Z'
-                    || c >= 'a' && c <= 'z'
-                    || TOKEN_SYMBOLS.indexOf(c) >= 0;
-        }
-    }
-
     private final StatusLineScanner statusLines = new StatusLineScanner();
     private Part part = Part.STATUS_LINE;
     private Result result = Result.INCOMPLETE;
@@ -137,13 +125,13 @@
     private void processText(byte value) {
         if (value == '\r') {
             part = Part.LINE_END;
-        } else if (value >= 0 && value < ' ' && value != '\t' || value == 127) {
+        } else if (!FieldBytes.isInText(value)) {
             result = Result.INVALID;
         }
     }
 
     private void processName(byte value) {
-        if (value < 0 || !IS_TOKEN[value]) {
+        if (!FieldBytes.isInName(value)) {
             result = statusLines.isInProtocolVersion() ? Result.JOINED : Result.INVALID;
         }
     }
