All bytes that are held for answers are bounded together

What callers saw: a faulty worker sent bytes without end in answer to many requests at once. Each was cut off at its own limit of 8 MiB, but together they filled the heap: the router ran out of memory, others were not served and GET /ready stayed unanswered.

Cause: the bound was of one body. How many there are is decided by the callers.

Change: ResponseMemory bounds what all responses of workers and peers hold, from the first byte of a body until the client has it, and incomplete events of streams, by a quarter of the heap. What is over it is not read yet, so that it waits at its sender. A response is read on while it holds less than what is free: floods share the room evenly, and one that has just begun always finds some. The one that has waited longest is read to its end nevertheless, up to the limit of a body; otherwise large sound bodies could wait for each other until their deadlines. Together they hold a quarter of the heap and one largest body at most. Besides, a connection reads at most 16 KiB that nobody has asked for, a slow client of a stream has 16 packets waiting in place of 64, and a body of tiny packets takes about its length (BodyBuffer). Waiting has a counter and a log line.

Ruled out: dropping answers over the bound, since sound ones would be among them; a fixed share for each answer, which either is too small for sound bodies or no bound; holding back reads in the transport, which reads on by itself while a receiver asks for everything.

Not counted there: heads (12 KB a connection), the store's pages (32 MB, one or two at a time) and lists of kept parts (4 MB, 4 at a time), which have bounds of their own.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -259,7 +259,10 @@
         }
         Call call = new Call(attributes, request.method(), request.uri(), forwardedHeaders, body);
         log.setCall(call);
-        return forwarder.forward(call).flatMap(reply -> send(response, request.version(), reply, log));
+        return forwarder
+                .forward(call)
+                .flatMap(reply -> send(response, request.version(), reply, log))
+                .doFinally(signal -> call.holds().close());
     }
 
     private Mono<Void> send(HttpServerResponse response, HttpVersion version, Reply reply, RequestLog log) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/EventWriter.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/EventWriter.java
@@ -30,8 +30,8 @@
  * a promise each and a gathering write.
  */
 final class EventWriter extends Mono<Void> {
-    /** Number of items requested at a time while the client reads fast enough. */
-    private static final int WINDOW = 64;
+    /** Number of items requested at a time while the client reads fast enough; also limits what waits for a slow one. */
+    private static final int WINDOW = 16;
 
     private static final byte[] LINE_END = {'\r', '\n'};
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
@@ -184,7 +184,10 @@
         return forwarder
                 .forwardForPeer(call)
                 .flatMap(reply -> send(response, call, reply))
-                .doFinally(signal -> log(relayed, call));
+                .doFinally(signal -> {
+                    call.holds().close();
+                    log(relayed, call);
+                });
     }
 
     /** Returns why this process does not forward the request; empty if it does. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/BufferedResponse.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/BufferedResponse.java
@@ -1,7 +1,5 @@
 package org.dotterelcourse.gateway.forward;
 
-import java.io.ByteArrayOutputStream;
-
 import io.netty.handler.codec.http.HttpHeaders;
 import reactor.core.publisher.Mono;
 
@@ -25,19 +23,18 @@
     /**
      * Receives the body of a response. The connection is closed if the body exceeds the limit; the result is an error of type
      * {@link WorkerConnectionException} then, since the worker has not sent a response that can be passed on.
+     *
+     * @param response the response
+     * @param holds of the request, which keeps the body until it is answered
      */
-    static Mono<BufferedResponse> collect(StreamedResponse response) {
+    static Mono<BufferedResponse> collect(StreamedResponse response, ResponseHolds holds) {
+        ResponseMemory.Share share = response.share();
+        holds.add(share);
         return response.body()
-                .collect(ByteArrayOutputStream::new, BufferedResponse::append)
-                .map(bytes -> new BufferedResponse(response.status(), response.headers(), bytes.toByteArray()));
-    }
-
-    private static void append(ByteArrayOutputStream body, byte[] bytes) {
-        if (body.size() + bytes.length > MAX_BODY_BYTES) {
-            throw new WorkerConnectionException(
-                    true, new IllegalStateException("body exceeds the limit of " + MAX_BODY_BYTES + " bytes"));
-        }
-        body.writeBytes(bytes);
+                .collect(() -> new BodyBuffer(share, MAX_BODY_BYTES), BodyBuffer::append)
+                .map(body -> new BufferedResponse(response.status(), response.headers(), body.toByteArray()))
+                .doOnError(error -> share.close())
+                .doOnCancel(share::close);
     }
 
     /** Returns this response as the reply to the client. */
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Call.java
@@ -41,6 +41,7 @@
     private String relayPeer = "";
     private long retryAfterMillis;
     private int slotRejections;
+    private final ResponseHolds holds = new ResponseHolds();
 
     /**
      * Properties of a request that are determined at its admission.
@@ -108,6 +109,11 @@
                 attributes.resumes());
     }
 
+    /** @return the responses that are held until the request is answered; whoever answers it closes them */
+    public ResponseHolds holds() {
+        return holds;
+    }
+
     HttpMethod method() {
         return method;
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventFramer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventFramer.java
@@ -62,6 +62,11 @@
         return events;
     }
 
+    /** Returns the bytes of the incomplete event that are kept. */
+    int incompleteBytes() {
+        return pending.size();
+    }
+
     /**
      * Returns whether the incomplete event exceeds the limit.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/EventRelay.java
@@ -27,8 +27,12 @@
 
     /** Is notified of the progress of a stream. */
     interface Listener {
-        /** A packet of the worker has arrived, with any part of one or more events. */
-        void onPacket();
+        /**
+         * A packet of the worker has arrived, with any part of one or more events.
+         *
+         * @param incompleteBytes the bytes of the incomplete event at its end
+         */
+        void onPacket(int incompleteBytes);
 
         /** A complete event is about to be passed on. */
         void onEvent(EventFramer.Event event);
@@ -79,8 +83,8 @@
             if (isEnded) {
                 return;
             }
-            listener.onPacket();
             List<EventFramer.Event> events = framer.append(packet);
+            listener.onPacket(framer.incompleteBytes());
             if (framer.isTooLong()) {
                 fail("event exceeds the limit of " + EventFramer.MAX_EVENT_BYTES + " bytes");
                 return;
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -82,9 +82,10 @@
         state = kernel.find(GatewayState.NAME);
         reachability = kernel.find(Reachability.NAME);
         MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
-        client = WorkerClient.forWorkers(loop, reachability, dialect, metrics);
+        ResponseMemory memory = ResponseMemory.ofHeap(loop::nowNanos, metrics);
+        client = WorkerClient.forWorkers(loop, reachability, dialect, memory, metrics);
         failureHandler = new AttemptFailureHandler(loop, state, reachability, metrics);
-        relays = new RelayAttempts(loop, reachability, metrics);
+        relays = new RelayAttempts(loop, reachability, memory, metrics);
         streams = new StreamForwarder(loop, state, reachability, failureHandler, metrics);
         clientResumption = new ClientResumption(loop, state, metrics);
         statementHandler = new WorkerStatementHandler(dialect, validator, state);
@@ -309,7 +310,7 @@
                     streams.forward(call, placement, response, error -> resumption.resume(call, placement, error));
             return Mono.just(new Reply.Streamed(response.status(), response.headers(), events));
         }
-        return BufferedResponse.collect(response)
+        return BufferedResponse.collect(response, call.holds())
                 .doFinally(signal -> placement.end())
                 .doOnNext(buffered -> validator.closeUnlessFromWorker(call, response))
                 .flatMap(buffered ->
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
@@ -29,9 +29,9 @@
     private final Counter failed;
     private Optional<RelayPeers> peers = Optional.empty();
 
-    RelayAttempts(GatewayLoop loop, Reachability reachability, MetricRegistry metrics) {
+    RelayAttempts(GatewayLoop loop, Reachability reachability, ResponseMemory memory, MetricRegistry metrics) {
         this.reachability = reachability;
-        this.client = new RelayClient(loop, metrics);
+        this.client = new RelayClient(loop, memory, metrics);
         this.relayed = metrics.counter("gateway.relay.sent");
         this.failed = metrics.counter("gateway.relay.failed");
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayClient.java
@@ -38,14 +38,14 @@
     private final AtomicLong sequence = new AtomicLong();
     private String self = "";
 
-    RelayClient(GatewayLoop loop, MetricRegistry metrics) {
+    RelayClient(GatewayLoop loop, ResponseMemory memory, MetricRegistry metrics) {
         this.loop = loop;
         ResponseFaultLog faults = new ResponseFaultLog(
                 metrics,
                 "gateway.relay.responses.",
                 address -> "peer " + peerNames.getOrDefault(address, "of an unknown name"),
                 loop::nowNanos);
-        this.client = new WorkerClient(loop, UnaryOperator.identity(), new RelayResponseMatcher(), faults);
+        this.client = new WorkerClient(loop, UnaryOperator.identity(), new RelayResponseMatcher(), faults, memory);
     }
 
     /** Sets the name of this process, for the peers' logs. */
@@ -136,7 +136,7 @@
         RelayResult result = outcome.equals(RelayHeaders.NOT_EXECUTED)
                 ? new RelayResult.NotExecuted(reason, sends > 0, retryAfterMillis)
                 : new RelayResult.Unknown(outcome.isEmpty() ? "answer has no outcome" : reason);
-        return BufferedResponse.collect(response).thenReturn(result);
+        return BufferedResponse.collect(response, call.holds()).thenReturn(result);
     }
 
     private static long number(HttpHeaders headers, String name) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelaySubscriber.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelaySubscriber.java
@@ -39,7 +39,7 @@
     }
 
     @Override
-    public final void request(long count) {
+    public void request(long count) {
         upstream.request(count);
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ResponseBody.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ResponseBody.java
@@ -5,13 +5,18 @@
 import reactor.core.CoreSubscriber;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxOperator;
+import reactor.core.publisher.Operators;
 
 /**
  * The body of a worker's response as byte arrays. Closes the connection at the end, unless it may be used for another
  * request: if the body is complete and the response a success. Errors become {@link WorkerConnectionException}s.
+ *
+ * <p>One buffer at a time is requested, and only if the memory of all responses has room for it, however many its receiver
+ * asks for.
  */
 final class ResponseBody extends FluxOperator<ByteBuf, byte[]> {
     private final boolean isReusable;
+    private final ResponseMemory.Share share;
     private final Runnable close;
 
     /**
@@ -19,11 +24,13 @@
      *
      * @param content the buffers, which the publisher releases
      * @param isReusable whether the connection may be used again after a complete body
+     * @param share decides when the next buffer is read; the receiver records in it what it holds
      * @param close closes the connection
      */
-    ResponseBody(Flux<ByteBuf> content, boolean isReusable, Runnable close) {
+    ResponseBody(Flux<ByteBuf> content, boolean isReusable, ResponseMemory.Share share, Runnable close) {
         super(content);
         this.isReusable = isReusable;
+        this.share = share;
         this.close = close;
     }
 
@@ -34,6 +41,8 @@
 
     /** The subscription to the body. */
     private final class Receiver extends RelaySubscriber<ByteBuf, byte[]> {
+        private long demand;
+        private boolean isReading;
         private boolean isComplete;
         private boolean isEnded;
 
@@ -41,9 +50,27 @@
             super(actual);
         }
 
+        @Override
+        public void request(long count) {
+            demand = Operators.addCap(demand, count);
+            readNext();
+        }
+
+        private void readNext() {
+            if (demand > 0 && !isReading && !isEnded) {
+                isReading = true;
+                share.whenReadable(() -> upstream().request(1));
+            }
+        }
+
         @Override
         public void onNext(ByteBuf buffer) {
+            isReading = false;
+            if (demand != Long.MAX_VALUE) {
+                demand--;
+            }
             actual().onNext(ByteBufUtil.getBytes(buffer));
+            readNext();
         }
 
         @Override
@@ -70,6 +97,7 @@
         private void end() {
             if (!isEnded) {
                 isEnded = true;
+                share.endReading();
                 if (!isComplete || !isReusable) {
                     close.run();
                 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
@@ -47,6 +47,7 @@
         StreamProgress progress = new StreamProgress(
                 counters,
                 placement,
+                response.share(),
                 event -> {
                     long nowNanos = loop.nowNanos();
                     if (!placement.isAtPeer()) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamProgress.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamProgress.java
@@ -11,11 +11,16 @@
  *
  * @param counters the counters of this process
  * @param placement the attempt, which ends with the stream
+ * @param share the memory of the worker's response, which is released at its end
  * @param eventListener called with each event before it is passed on
  * @param completionListener called when the worker's response is complete
  */
 record StreamProgress(
-        Counters counters, Placement placement, Consumer<EventFramer.Event> eventListener, Runnable completionListener)
+        Counters counters,
+        Placement placement,
+        ResponseMemory.Share share,
+        Consumer<EventFramer.Event> eventListener,
+        Runnable completionListener)
         implements EventRelay.Listener {
 
     /**
@@ -32,8 +37,9 @@
     }
 
     @Override
-    public void onPacket() {
+    public void onPacket(int incompleteBytes) {
         counters.packets().inc();
+        share.set(incompleteBytes);
     }
 
     @Override
@@ -50,6 +56,7 @@
 
     @Override
     public void onEnd() {
+        share.close();
         placement.end();
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerClient.java
@@ -8,6 +8,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -48,12 +49,18 @@
     /** Maximum number of connections per worker. Workers accept a few hundred from all router processes together. */
     private static final int MAX_CONNECTIONS = 128;
 
+    /** Limits what is received of each response beyond what its receiver has asked for. */
+    private static final int MAX_READ_BYTES = 16 << 10;
+
+    private static final int INITIAL_READ_BYTES = 2 << 10;
+    private static final int MIN_READ_BYTES = 64;
     private static final int MIN_NON_SUCCESS_STATUS = 300;
 
     private final HttpClient client;
     private final ReuseRestrictions restrictions = new ReuseRestrictions();
     private final GatewayLoop loop;
     private final UnaryOperator<InetSocketAddress> addressMapping;
+    private final ResponseMemory memory;
 
     /** Is notified of the outcome of each connection attempt. */
     interface ConnectListener {
@@ -74,12 +81,15 @@
      * @param addressMapping returns the address to connect to for a worker's published address
      * @param matcher identifies the response to a request
      * @param faults is notified of data that is not the response to the request in flight
+     * @param memory bounds what the responses of all clients that use it hold
      */
     WorkerClient(
             GatewayLoop loop,
             UnaryOperator<InetSocketAddress> addressMapping,
             ResponseMatcher matcher,
-            ResponseFaultListener faults) {
+            ResponseFaultListener faults,
+            ResponseMemory memory) {
+        this.memory = memory;
         this.loop = loop;
         this.addressMapping = addressMapping;
         ResponseFaultListener listener = fault -> {
@@ -96,12 +106,19 @@
                 .runOn(loop.resources(), false)
                 .disableRetry(true)
                 .doOnChannelInit((observer, channel, address) -> ExchangeCodec.install(channel, matcher, listener))
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
     }
 
     /** Creates a client whose servers repeat the id of a request in their response, as workers do. */
     static WorkerClient forWorkers(
-            GatewayLoop loop, Reachability reachability, Dialect dialect, MetricRegistry metrics) {
+            GatewayLoop loop,
+            Reachability reachability,
+            Dialect dialect,
+            ResponseMemory memory,
+            MetricRegistry metrics) {
         ResponseFaultLog faults = new ResponseFaultLog(
                 metrics,
                 "gateway.responses.",
@@ -111,7 +128,8 @@
                         .map(entry -> "worker " + entry.id())
                         .orElse("unpublished worker"),
                 loop::nowNanos);
-        return new WorkerClient(loop, reachability.addressMapping(), new WorkerResponseMatcher(dialect), faults);
+        return new WorkerClient(
+                loop, reachability.addressMapping(), new WorkerResponseMatcher(dialect), faults, memory);
     }
 
     /**
@@ -169,7 +187,8 @@
         Runnable close = () -> connection.channel().close();
         boolean isReusable = status < MIN_NON_SUCCESS_STATUS
                 && !restrictions.contains(connection.channel().remoteAddress(), loop.nowNanos());
-        Flux<byte[]> body = new ResponseBody(connection.inbound().receive(), isReusable, close);
-        return new StreamedResponse(status, response.responseHeaders().copy(), body, close);
+        ResponseMemory.Share share = memory.open();
+        Flux<byte[]> body = new ResponseBody(connection.inbound().receive(), isReusable, share, close);
+        return new StreamedResponse(status, response.responseHeaders().copy(), body, share, close);
     }
 }
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/AnswersCutInTheirHeadTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/AnswersCutInTheirHeadTest.java
@@ -99,7 +99,8 @@
         String head = "HTTP/1.1 200 OK\r\n" + RelayHeaders.OUTCOME + ": " + RelayHeaders.RESPONDED + "\r\n"
                 + RelayHeaders.SENDS + ": 1\r\n" + RelayHeaders.VERSION + ": v1\r\n" + COMMON + framing + "\r\n\r\n";
         for (Way way : Way.all()) {
-            RelayClient client = new RelayClient(loop, new MetricRegistry());
+            RelayClient client = new RelayClient(
+                    loop, ResponseMemory.ofHeap(System::nanoTime, new MetricRegistry()), new MetricRegistry());
             List<String> answers = answers(head, "", way, (server, cut) -> {
                 Mono<RelayResult> result =
                         client.send(call(cut), new RelayTarget("cut-" + cut, server.address()), List.of());
@@ -111,8 +112,12 @@
 
     private void assertThatNoPrefixIsAnAnswer(String head, String before) {
         for (Way way : Way.all()) {
-            WorkerClient client =
-                    new WorkerClient(loop, UnaryOperator.identity(), ResponseMatcher.ANY, ResponseFaultListener.NONE);
+            WorkerClient client = new WorkerClient(
+                    loop,
+                    UnaryOperator.identity(),
+                    ResponseMatcher.ANY,
+                    ResponseFaultListener.NONE,
+                    ResponseMemory.ofHeap(System::nanoTime, new MetricRegistry()));
             List<String> answers = answers(head, before, way, (server, cut) -> send(client, server, cut));
             assertThat(answers)
                     .as(way.toString())
@@ -170,7 +175,7 @@
                         new DefaultHttpHeaders().set("Host", "a.example").set("Content-Length", 0),
                         new byte[0],
                         WorkerClient.ConnectListener.NONE)
-                .flatMap(response -> BufferedResponse.collect(response)
+                .flatMap(response -> BufferedResponse.collect(response, new ResponseHolds())
                         .map(whole -> whole.status() + " with " + whole.body().length + " bytes"));
     }
 
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/EventRelayTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/EventRelayTest.java
@@ -185,7 +185,7 @@
         private int endCount;
 
         @Override
-        public void onPacket() {
+        public void onPacket(int incompleteBytes) {
             packetCount++;
         }
 
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/LateAnswersOfPeersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/LateAnswersOfPeersTest.java
@@ -132,7 +132,8 @@
             requests.add(request);
             return new Answer(peer.apply(request, request.number()), 1 << 16, Optional.empty());
         })) {
-            RelayClient client = new RelayClient(loop, new MetricRegistry());
+            RelayClient client = new RelayClient(
+                    loop, ResponseMemory.ofHeap(System::nanoTime, new MetricRegistry()), new MetricRegistry());
             Call call = null;
             for (int i = 0;
                     i < 2 || i < maxCalls && requests.get(requests.size() - 1).number() == 1;
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/LeftoverDataTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/LeftoverDataTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -51,7 +52,11 @@
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             CompletableFuture<Integer> worker = CompletableFuture.supplyAsync(() -> serve(server, RESPONSE + leftover));
             WorkerClient client = new WorkerClient(
-                    loop, UnaryOperator.identity(), ResponseMatcher.ANY, fault -> faults.add(fault.kind()));
+                    loop,
+                    UnaryOperator.identity(),
+                    ResponseMatcher.ANY,
+                    fault -> faults.add(fault.kind()),
+                    ResponseMemory.ofHeap(System::nanoTime, new MetricRegistry()));
             Integer status = client.send(
                             new InetSocketAddress("127.0.0.1", server.getLocalPort()),
                             HttpMethod.GET,
@@ -90,7 +95,12 @@
         };
         try (ServerSocket server = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
             CompletableFuture<Integer> first = CompletableFuture.supplyAsync(() -> serve(server, upgrade + RESPONSE));
-            WorkerClient client = new WorkerClient(loop, UnaryOperator.identity(), matcher, faults::add);
+            WorkerClient client = new WorkerClient(
+                    loop,
+                    UnaryOperator.identity(),
+                    matcher,
+                    faults::add,
+                    ResponseMemory.ofHeap(System::nanoTime, new MetricRegistry()));
             String firstResult = result(client, server);
             CompletableFuture.supplyAsync(() -> serve(server, RESPONSE));
             String secondResult = result(client, server);
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/TruncatedResponsesTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/TruncatedResponsesTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.dotterelcourse.daemon.http.exchange.ResponseFault;
@@ -124,7 +125,12 @@
     }
 
     private Mono<Void> send() {
-        WorkerClient client = new WorkerClient(loop, UnaryOperator.identity(), ResponseMatcher.ANY, faults::add);
+        WorkerClient client = new WorkerClient(
+                loop,
+                UnaryOperator.identity(),
+                ResponseMatcher.ANY,
+                faults::add,
+                ResponseMemory.ofHeap(System::nanoTime, new MetricRegistry()));
         return client.send(
                         new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
                         HttpMethod.GET,
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerClientTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.dotterelcourse.daemon.http.exchange.ResponseFaultListener;
@@ -47,8 +48,12 @@
             CountDownLatch cancelled = new CountDownLatch(1);
             CompletableFuture<Void> worker =
                     CompletableFuture.runAsync(() -> serveTwoRequests(server, secondRequest, cancelled));
-            WorkerClient client =
-                    new WorkerClient(loop, UnaryOperator.identity(), ResponseMatcher.ANY, ResponseFaultListener.NONE);
+            WorkerClient client = new WorkerClient(
+                    loop,
+                    UnaryOperator.identity(),
+                    ResponseMatcher.ANY,
+                    ResponseFaultListener.NONE,
+                    ResponseMemory.ofHeap(System::nanoTime, new MetricRegistry()));
             WorkerEntry entry = new WorkerEntry("w", 0, "u", "127.0.0.1", server.getLocalPort(), "dc", 1, false, 0, "");
 
             CountDownLatch firstItem = new CountDownLatch(1);
--- a/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerConnectionTimersTest.java
+++ b/dotterelcourse-gateway/src/test/java/org/dotterelcourse/gateway/forward/WorkerConnectionTimersTest.java
@@ -16,6 +16,7 @@
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -51,8 +52,12 @@
     void anIdleConnectionHasNoTimer() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             CompletableFuture<Void> worker = CompletableFuture.runAsync(() -> serve(server));
-            WorkerClient client =
-                    new WorkerClient(loop, UnaryOperator.identity(), ResponseMatcher.ANY, ResponseFaultListener.NONE);
+            WorkerClient client = new WorkerClient(
+                    loop,
+                    UnaryOperator.identity(),
+                    ResponseMatcher.ANY,
+                    ResponseFaultListener.NONE,
+                    ResponseMemory.ofHeap(System::nanoTime, new MetricRegistry()));
             client.send(
                             new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
                             HttpMethod.GET,
