Requests that a stopping process has passed on are answered before it ends

What callers saw: in a planned stop, in calm, requests that came late in the grace period were taken and passed on, and at its end they were cut off without an answer, among them ones that may run once only.

Cause: after SIGTERM a process took requests for 2.9 s whatever time they might need, and 7.5 s after the signal it ended with those in flight.

Change: ShutdownAdmission accepts a request only if it will be answered in time: its deadline comes first, or the longest recent request of its route, else of its upstream, would be done with a margin. Others are refused as not executed at once, so that their clients go to another VM. What is in flight half a second before the end of the grace is answered as it stands (ShutdownSignal): as possibly executed if a worker may have got it, else as not executed; uploads that are not complete are the latter. Streams are broken off so that a client of HTTP/1.0 sees a reset, not the end of its connection; resumable ones are always accepted, since they go on at a peer. The same holds for requests of peers.

Ruled out: refusing everything whose deadline is later than the end, since most requests have a deadline many times longer than they take, and calm stops would refuse what is served today; relaying, since the client's connection ends with this process in any case.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/GatewayState.java
@@ -26,6 +26,7 @@
 import org.dotterelcourse.policy.selection.EngineModel;
 import org.dotterelcourse.policy.selection.EnginePartition;
 import org.dotterelcourse.policy.selection.GapClassifier;
+import org.dotterelcourse.policy.shutdown.ShutdownAdmission;
 
 /**
  * The gateway's view of the platform and the fleet: the active routing table, the workers, the retry budgets, and the
@@ -50,6 +51,8 @@
     private final WorkerStatements statements = new WorkerStatements(workers);
     private final StreamVersionLog streamVersions = new StreamVersionLog();
     private final PartVersionLog partVersions = new PartVersionLog();
+    private final ShutdownSignal shutdownSignal = new ShutdownSignal();
+    private final ShutdownAdmission shutdownAdmission = new ShutdownAdmission(System.nanoTime());
     private final RetryLimit retryLimit;
     private AuditTrail audit;
     private volatile RoutingTable table;
@@ -354,6 +357,16 @@
         return statements;
     }
 
+    /** @return tells what is in flight that the process is about to end */
+    public ShutdownSignal shutdownSignal() {
+        return shutdownSignal;
+    }
+
+    /** @return decides which requests are still accepted after the signal to stop */
+    public ShutdownAdmission shutdownAdmission() {
+        return shutdownAdmission;
+    }
+
     /**
      * Returns the engine partitions of all upstreams that had requests.
      *
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/ClientHttpServer.java
@@ -24,7 +24,9 @@
 import org.dotterelcourse.gateway.forward.LocalReply;
 import org.dotterelcourse.gateway.forward.Reply;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
+import org.dotterelcourse.gateway.routing.Route;
 import org.dotterelcourse.gateway.routing.RoutingTable;
+import org.dotterelcourse.policy.shutdown.ShutdownAdmission;
 import org.dotterelcourse.policy.start.BacklogWait;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -45,6 +47,9 @@
      */
     private static final long MAX_READ_DELAY_MILLIS = 1_000;
 
+    private static final LocalReply SHUTTING_DOWN = LocalReply.notExecuted("shutting down", 1);
+    private static final LocalReply ENDS_TOO_LATE =
+            LocalReply.notExecuted("shutting down, the request may not be answered before", 1);
     private static final LocalReply TOO_LARGE = new LocalReply(413, "the body is too long", 0);
 
     /** Twice the published limit for clients, so that requests are rejected by that limit and not by the HTTP parser. */
@@ -80,7 +85,10 @@
     public enum Phase {
         /** No shutdown has begun: requests are accepted. */
         SERVING,
-        /** Requests of clients that have not noticed the shutdown are accepted, with "Connection: close" in the reply. */
+        /**
+         * Requests of clients that have not noticed the shutdown are accepted if they will be answered in time, with
+         * "Connection: close" in the reply.
+         */
         LEAVING,
         /** Requests in flight are completed, new ones are rejected. */
         DRAINING
@@ -189,11 +197,17 @@
         RequestLog log = new RequestLog(dialect.requestId(request.requestHeaders()), arrivalNanos);
         return Mono.defer(() -> {
                     inFlight.increment();
-                    return readBody(request)
+                    Mono<byte[]> admitted = readBody(request)
                             .flatMap(body -> startup.await(arrivalNanos, timeoutMillis(request))
                                     .then(pacer.admit(arrivalNanos, timeoutMillis(request)))
-                                    .thenReturn(body))
-                            .flatMap(body -> serve(request, response, body, arrivalNanos, log));
+                                    .thenReturn(body));
+                    return Mono.firstWithSignal(
+                                    admitted.map(Optional::of),
+                                    state.shutdownSignal().asMono().thenReturn(Optional.<byte[]>empty()))
+                            .flatMap(body -> body.isPresent()
+                                    ? serve(request, response, body.get(), arrivalNanos, log)
+                                    : sendLocal(
+                                            response.header(HttpHeaderNames.CONNECTION, "close"), SHUTTING_DOWN, log));
                 })
                 .takeUntilOther(HttpReplies.disconnection(request))
                 .onErrorResume(
@@ -231,7 +245,7 @@
             response.header(HttpHeaderNames.CONNECTION, "close");
         }
         if (phase == Phase.DRAINING) {
-            return sendLocal(response, LocalReply.notExecuted("shutting down", 1), log);
+            return sendLocal(response, SHUTTING_DOWN, log);
         }
         Optional<RoutingTable> table = state.table();
         if (table.isEmpty()) {
@@ -246,6 +260,9 @@
             return sendLocal(response, rejected.reply(), log);
         }
         Call.Attributes attributes = ((Admission.Decision.Admitted) decision).attributes();
+        if (!acceptsAtShutdown(attributes)) {
+            return sendLocal(response, ENDS_TOO_LATE, log);
+        }
         boolean hasTime = BacklogWait.hasTimeLeft(arrivalNanos, attributes.deadlineNanos(), loop.nowNanos());
         if (!hasTime && pacer.isBehind()) {
             return sendLocal(
@@ -265,6 +282,19 @@
                 .doFinally(signal -> call.holds().close());
     }
 
+    /** Returns whether a request will be answered before the process ends, if a shutdown has begun. */
+    boolean acceptsAtShutdown(Call.Attributes attributes) {
+        Route route = attributes.route();
+        return state.shutdownAdmission()
+                .accepts(
+                        new ShutdownAdmission.Request(
+                                route.name(),
+                                attributes.upstream().name(),
+                                route.isStreaming() && route.resumable(),
+                                attributes.deadlineNanos()),
+                        loop.nowNanos());
+    }
+
     private Mono<Void> send(HttpServerResponse response, HttpVersion version, Reply reply, RequestLog log) {
         if (reply instanceof Reply.Local local) {
             return sendLocal(response, local.reply(), log);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
@@ -179,8 +179,11 @@
         if (obstacle.isPresent()) {
             return reject(response, obstacle.get());
         }
-        accepted.inc();
         Call call = toCall(relayed);
+        if (!clients.acceptsAtShutdown(call.attributes())) {
+            return reject(response, "shutting down, the request may not be answered before");
+        }
+        accepted.inc();
         return forwarder
                 .forwardForPeer(call)
                 .flatMap(reply -> send(response, call, reply))
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/AttemptFailureHandler.java
@@ -88,6 +88,9 @@
      * @param isSuccess whether the worker has done the work of the request
      */
     void recordFinished(Call call, boolean isSuccess) {
+        if (isSuccess) {
+            recordDuration(call.attributes());
+        }
         if (!quarantine.isEmpty()) {
             long nowNanos = loop.nowNanos();
             state.applyCrashNotice(
@@ -98,6 +101,16 @@
         }
     }
 
+    private void recordDuration(Call.Attributes attributes) {
+        long nowNanos = loop.nowNanos();
+        state.shutdownAdmission()
+                .recordAnswer(
+                        attributes.route().name(),
+                        attributes.upstream().name(),
+                        nowNanos - attributes.arrivalNanos(),
+                        nowNanos);
+    }
+
     /** Reports a crash, except for a leaving worker, which stops as announced even with requests in flight. */
     private void handleProbeResult(FailedAttempt attempt, WorkerProbe.Result result) {
         log(attempt, result);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/FinalReplies.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeoutException;
 
 import org.dotterelcourse.gateway.GatewayLoop;
+import org.dotterelcourse.gateway.ShutdownSignal;
 import org.dotterelcourse.policy.quarantine.Verdict;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
@@ -23,16 +24,40 @@
 
     private static final Logger LOG = Logger.getLogger(FinalReplies.class);
 
+    private static final long RETRY_AFTER_SHUTDOWN_MILLIS = 1;
+
     private final GatewayLoop loop;
     private final SharedBackoff sharedBackoff;
+    private final ShutdownSignal shutdown;
 
-    FinalReplies(GatewayLoop loop, SharedBackoff sharedBackoff) {
+    FinalReplies(GatewayLoop loop, SharedBackoff sharedBackoff, ShutdownSignal shutdown) {
         this.loop = loop;
         this.sharedBackoff = sharedBackoff;
+        this.shutdown = shutdown;
+    }
+
+    /**
+     * Answers a request that has no reply when the process is about to end, or shortly after its deadline, whichever part has
+     * failed to decide on it.
+     */
+    Mono<Reply> decideInTime(Call call, Mono<Reply> reply) {
+        return Mono.firstWithSignal(
+                decideAtDeadline(call, reply), shutdown.asMono().then(Mono.fromSupplier(() -> atShutdown(call))));
+    }
+
+    /** Returns the reply of a process that can't wait any longer: an attempt in flight may have been executed. */
+    private static Reply atShutdown(Call call) {
+        String reason = "shutting down";
+        boolean wasSent = call.isPossiblyExecuted()
+                || call.sendCount() > 0
+                || !call.relayPeer().isEmpty();
+        return new Reply.Local(
+                wasSent
+                        ? LocalReply.possiblyExecuted(reason)
+                        : LocalReply.notExecuted(reason, RETRY_AFTER_SHUTDOWN_MILLIS));
     }
 
-    /** Answers a request that has no reply shortly after its deadline, whichever part has failed to decide on it. */
-    Mono<Reply> decideAtDeadline(Call call, Mono<Reply> reply) {
+    private Mono<Reply> decideAtDeadline(Call call, Mono<Reply> reply) {
         long remainingMillis = Math.max(0, call.remainingMillis(loop.nowNanos()));
         return reply.timeout(Duration.ofMillis(remainingMillis + UNDECIDED_GRACE_MILLIS), loop.scheduler())
                 .onErrorResume(TimeoutException.class, error -> {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -94,7 +94,7 @@
         selection = new WorkerSelection(dataCentre, state, random);
         SharedBackoff sharedBackoff = new SharedBackoff(state, random);
         retries = new RetryPolicy(state);
-        finalReplies = new FinalReplies(loop, sharedBackoff);
+        finalReplies = new FinalReplies(loop, sharedBackoff, state.shutdownSignal());
         resumption = new StreamResumption(loop, failureHandler, retries, call -> attempt(call, Optional.empty()));
         queues = new EngineQueues(loop, state, selection, sharedBackoff, random);
         return List.of();
@@ -142,7 +142,7 @@
         return Mono.defer(() -> {
             state.retryBudget(call.attributes().upstream().name()).recordRequest(loop.nowNanos());
             selection.recordArrival(call, loop.nowNanos());
-            return finalReplies.decideAtDeadline(
+            return finalReplies.decideInTime(
                     call,
                     clientResumption
                             .bind(call)
@@ -162,7 +162,7 @@
     public Mono<Reply> forwardForPeer(Call call) {
         return Mono.defer(() -> {
             selection.recordArrival(call, loop.nowNanos());
-            return finalReplies.decideAtDeadline(call, attempt(call, Optional.empty()));
+            return finalReplies.decideInTime(call, attempt(call, Optional.empty()));
         });
     }
 
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamDeadline.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamDeadline.java
@@ -4,18 +4,20 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+import org.dotterelcourse.gateway.ShutdownSignal;
 import org.reactivestreams.Subscription;
 import reactor.core.CoreSubscriber;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.FluxOperator;
 
 /**
- * Fails a stream at its deadline, so that the client does not take a stream still in progress for complete. Like {@code
+ * Fails a stream at its deadline, or when the process is about to end, so that the client does not take a stream still in progress for complete. Like {@code
  * takeUntilOther}, but without its locks: signals, cancellation and the timer run on one event loop.
  */
 final class StreamDeadline extends FluxOperator<byte[], byte[]> {
     private final EventLoop loop;
     private final long delayMillis;
+    private final ShutdownSignal shutdown;
 
     /**
      * Creates the operator.
@@ -23,9 +25,11 @@
      * @param source the stream, which signals on the event loop
      * @param loop the event loop
      * @param delayMillis the time from the subscription to the deadline in milliseconds
+     * @param shutdown tells that the process is about to end
      */
-    StreamDeadline(Flux<byte[]> source, EventLoop loop, long delayMillis) {
+    StreamDeadline(Flux<byte[]> source, EventLoop loop, long delayMillis, ShutdownSignal shutdown) {
         super(source);
+        this.shutdown = shutdown;
         this.loop = loop;
         this.delayMillis = delayMillis;
     }
@@ -37,6 +41,7 @@
 
     /** A subscription with its timer. */
     private final class Timed extends RelaySubscriber<byte[], byte[]> {
+        private final Runnable shutdownListener = () -> expire("stream still in progress when the process ends");
         private ScheduledFuture<?> timer;
         private boolean isEnded;
 
@@ -46,8 +51,12 @@
 
         @Override
         public void onSubscribe(Subscription subscription) {
-            timer = loop.schedule(this::expire, delayMillis, TimeUnit.MILLISECONDS);
+            timer = loop.schedule(
+                    () -> expire("stream still in progress at the deadline"), delayMillis, TimeUnit.MILLISECONDS);
             super.onSubscribe(subscription);
+            if (!isEnded) {
+                shutdown.addListener(shutdownListener);
+            }
         }
 
         @Override
@@ -78,10 +87,10 @@
             }
         }
 
-        private void expire() {
+        private void expire(String reason) {
             if (end()) {
                 upstream().cancel();
-                actual().onError(new StreamTimeoutException());
+                actual().onError(new StreamTimeoutException(reason));
             }
         }
 
@@ -90,6 +99,7 @@
             boolean isFirst = !isEnded;
             isEnded = true;
             timer.cancel(false);
+            shutdown.removeListener(shutdownListener);
             return isFirst;
         }
     }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamForwarder.java
@@ -65,7 +65,7 @@
             events = closeWhenHanging(events, response);
         }
         long delayMillis = Math.max(0, call.remainingMillis(loop.nowNanos())) + DEADLINE_GRACE_MILLIS;
-        return new StreamDeadline(events, loop.eventLoop(), delayMillis);
+        return new StreamDeadline(events, loop.eventLoop(), delayMillis, state.shutdownSignal());
     }
 
     /** Breaks a stream that can be resumed when this process is cut off and open connections carry nothing either. */
--- /dev/null
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/shutdown/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about requests that arrive while a process is being stopped. */
+package org.dotterelcourse.policy.shutdown;
