What a worker states in a response counts once the body is whole

What was seen, in a test: a worker answered with a valid head that asked for a rest of 30 s, or said that it was leaving, and a body that was cut off or had invalid trailers. The request got 502, and the worker no further requests.

Cause: statements were read when the headers arrived, before anything could be known of the body.

Change: the statements of a response are applied after its body was collected. Those of a stream still count when its head arrives: a stream may last long, and limits have to be in force sooner. In handleResult two branches on the same condition are one now; no change otherwise.

Ruled out: undoing statements of broken bodies, since other requests would have acted on them meanwhile.

Failed before, on: 3 of 3 examples of InvalidResponsesTest.nothingThatABrokenResponseStatesIsBelieved. All pass now, as do the tests of limited, shedding, leaving and brittle workers.

--- a/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseDecoder.java
+++ b/dotterelcourse-daemon/src/main/java/org/dotterelcourse/daemon/http/exchange/ResponseDecoder.java
@@ -41,11 +41,13 @@
     private int checkedObjects;
     private boolean hasSkipped;
     private boolean isTruncated;
-
     private ResponseFraming framing = ResponseFraming.LENGTH;
     private boolean isRequestWritten = true;
 
+    /** Whether the server has ended its side of the connection. */
     private boolean isInputEnded;
+
+    /** Whether a read or a write of the connection has failed. */
     private boolean hasFailed;
 
     private enum State {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/Forwarder.java
@@ -304,14 +304,15 @@
     }
 
     private Mono<Reply> handleResponse(Call call, Placement placement, StreamedResponse response) {
-        statementHandler.handle(call, placement.entry(), response, loop.nowNanos());
         if (validator.isStreamable(call, response)) {
+            statementHandler.handle(call, placement.entry(), response, loop.nowNanos());
             Flux<byte[]> events =
                     streams.forward(call, placement, response, error -> resumption.resume(call, placement, error));
             return Mono.just(new Reply.Streamed(response.status(), response.headers(), events));
         }
         return BufferedResponse.collect(response, call.holds())
                 .doFinally(signal -> placement.end())
+                .doOnNext(buffered -> statementHandler.handle(call, placement.entry(), response, loop.nowNanos()))
                 .doOnNext(buffered -> validator.closeUnlessFromWorker(call, response))
                 .flatMap(buffered ->
                         handleResult(call, placement, validator.classify(call, buffered), Optional.empty()));
@@ -349,10 +350,6 @@
             } else {
                 placement.recordConnectFailure(nowNanos);
             }
-        } else {
-            placement.recordFailure(nowNanos);
-        }
-        if (result instanceof AttemptResult.NotExecuted notExecuted) {
             boolean shouldRetry = notExecuted.wasReached()
                     ? retries.tryAcquire(call, nowNanos)
                     : relays.mayTryAgain(call, MAX_CONNECT_FAILURES);
@@ -361,12 +358,13 @@
                     : Mono.just(finalReplies.reply(
                             call, earlierResponse, relays.explain(call, notExecuted.reason()), nowNanos));
         }
+        placement.recordFailure(nowNanos);
         call.markPossiblyExecuted();
-        AttemptResult.Unknown unknown = (AttemptResult.Unknown) result;
         if (call.attributes().route().isRetryable() && retries.tryAcquire(call, nowNanos)) {
             return attempt(call, earlierResponse);
         }
-        return Mono.just(finalReplies.reply(call, earlierResponse, unknown.reason(), nowNanos));
+        return Mono.just(
+                finalReplies.reply(call, earlierResponse, ((AttemptResult.Unknown) result).reason(), nowNanos));
     }
 
     /**
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatementHandler.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/WorkerStatementHandler.java
@@ -6,8 +6,8 @@
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 
 /**
- * Applies what workers state about themselves in responses, as soon as the headers of a response have arrived, and logs
- * the values that have no effect.
+ * Applies what workers state about themselves in responses, and logs the values that have no effect. The headers of a
+ * response count once its body is whole, those of a stream, which may last long, when they arrive.
  */
 final class WorkerStatementHandler {
     private final Dialect dialect;
