--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -9,6 +9,7 @@
 import json
 import logging
 import os
+import random
 import shutil
 import signal
 import socket
@@ -34,15 +35,18 @@
 
 
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        each = socket.socket()
-        each.bind(("127.0.0.1", 0))
-        sockets.append(each)
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Free ports below those that the system gives to outgoing channels, which could take one before a router does."""
+    ports = set()
+    while len(ports) < count:
+        port = random.randint(15_000, 32_000)
+        try:
+            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            ports.add(port)
+        except OSError:
+            continue
+    return list(ports)
 
 
 class Record:
