--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/PartSurvey.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/PartSurvey.java
@@ -1,160 +1,278 @@
 package org.dotterelcourse.gateway.fleet;
 
-import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
-import com.codahale.metrics.Counter;
 import com.google.protobuf.InvalidProtocolBufferException;
-import org.dotterelcourse.coordination.membership.Member;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
-import org.dotterelcourse.gateway.fleet.PartVersionCodec.KeptPart;
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
-import org.dotterelcourse.gateway.forward.KeptPartReader;
+import org.dotterelcourse.gateway.fleet.generated.FleetProtos.PartReading.State;
 import org.dotterelcourse.gateway.workers.WorkerEntry;
 import org.dotterelcourse.gateway.workers.WorkerLinks;
+import org.dotterelcourse.policy.resumption.KeptPartEvidence;
 import org.dotterelcourse.policy.resumption.StreamKey;
-import org.jboss.logging.Logger;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
 
 /**
- * Reads which parts of prompts the workers of an upstream keep, when a stream is resumed that no process knows. The workers are
- * divided among the processes, so that each is read about once. In a large fleet, the results go to the peers that are asked
- * about them. Used on the gateway's event loop only.
+ * Determines which workers of an upstream keep a part of a prompt, when a stream is resumed that no process knows. The
+ * workers are divided among the processes, so that each is read about once. The process that asks reads those itself of
+ * which no peer tells anything. Used on the gateway's event loop only.
  */
 final class PartSurvey {
-    static final String REQUESTS = "gateway-part-surveys";
-    static final String RESULTS = "gateway-part-versions";
+    static final String QUERIES = "gateway-part-survey-queries";
+    static final String ANSWERS = "gateway-part-survey-answers";
 
-    private static final Logger LOG = Logger.getLogger(PartSurvey.class);
+    /** Time in which parts are collected for one query. */
+    private static final long COLLECT_MILLIS = 20;
 
-    /** Time after a survey in which no other one begins: reading delays a worker's work. */
-    private static final long MIN_INTERVAL_NANOS = 2_000_000_000L;
+    /** Time between two queries to a peer whose answer is not complete. */
+    private static final long REPEAT_MILLIS = 150;
 
-    /**
-     * Workers that one process reads in one survey. A process that has just started knows few peers, and would take too many
-     * workers for its own.
-     */
-    private static final int MAX_READ = 32;
-
-    private static final int CONCURRENT_READS = 4;
+    /** Time in which most workers answer; a peer that reads workers answers then. */
+    private static final long READ_MILLIS = 40;
 
-    /** Leaves 64 groups of parts; enough to spread them over the processes of the target size. */
-    private static final int GROUP_SHIFT = 58;
+    /** Time after which a worker of which no peer tells anything is read by the process that asks. */
+    private static final long SUBSTITUTE_NANOS = 500_000_000L;
 
-    /** Parts in one message, which then fits into a datagram. */
+    /** Parts in one query, which then fits into a datagram. */
     private static final int MAX_PARTS = 64;
 
-    private static final Duration TIMEOUT = Duration.ofMillis(1_000);
-
     private final GatewayLoop loop;
     private final GatewayState state;
     private final VersionKeepers keepers;
-    private final KeptPartReader reader;
+    private final PartReadings readings;
     private final WorkerLinks workers;
-    private final Counter reads;
-    private final Map<String, Long> begunNanos = new HashMap<>();
+    private final Map<String, Survey> collecting = new HashMap<>();
+    private final Map<Long, Survey> surveys = new HashMap<>();
+    private long lastNumber;
+
+    /** The parts of one query, who waits for them, and what peers have answered. */
+    private static final class Survey {
+        private final long number;
+        private final String upstream;
+        private final List<StreamKey> parts = new ArrayList<>();
+        private final Map<MonoSink<KeptPartEvidence.Verdict>, StreamKey> waiting = new HashMap<>();
+        private final Set<String> completed = new HashSet<>();
+        private final Map<String, PeerReading> byWorker = new HashMap<>();
+        private long begunNanos;
+
+        private Survey(long number, String upstream) {
+            this.number = number;
+            this.upstream = upstream;
+        }
+
+        /** Returns what a peer has read of a worker, the most informative answer if several have. */
+        private Optional<PartReadings.Reading> find(WorkerEntry worker) {
+            return Optional.ofNullable(byWorker.get(worker.id()))
+                    .filter(each -> each.incarnation() == worker.incarnation()
+                            && each.version().equals(worker.version()))
+                    .map(PeerReading::reading);
+        }
+    }
 
-    PartSurvey(GatewayLoop loop, GatewayState state, VersionKeepers keepers, KeptPartReader reader, Counter reads) {
+    /** What a peer has read of one start of a worker. */
+    private record PeerReading(int incarnation, String version, PartReadings.Reading reading) {
+        /** Whether this replaces another answer; a peer may only just have lost the way to a worker that another one reads. */
+        private boolean replaces(PeerReading other) {
+            return other.reading().state() != State.READ || reading.state() == State.READ;
+        }
+    }
+
+    PartSurvey(GatewayLoop loop, GatewayState state, VersionKeepers keepers, PartReadings readings) {
         this.loop = loop;
         this.state = state;
         this.keepers = keepers;
-        this.reader = reader;
+        this.readings = readings;
         this.workers = new WorkerLinks(state.workers(), RandomGenerator.getDefault());
-        this.reads = reads;
-    }
-
-    /** Begins a survey of all processes, unless one has begun just before; returns whether one is in progress. */
-    boolean begin(String upstream) {
-        if (isDue(upstream)) {
-            byte[] request = FleetProtos.PartSurvey.newBuilder()
-                    .setUpstream(upstream)
-                    .build()
-                    .toByteArray();
-            keepers.others().forEach(peer -> keepers.send(peer, REQUESTS, request));
-            read(upstream);
+        readings.onChange(() -> List.copyOf(surveys.values()).forEach(this::conclude));
+    }
+
+    /**
+     * Determines which version's workers keep a part.
+     *
+     * @param limitMillis time in milliseconds after which an incomplete conclusion is returned
+     */
+    Mono<KeptPartEvidence.Verdict> survey(String upstream, StreamKey part, long limitMillis) {
+        return Mono.create(sink -> {
+            Survey survey = collecting.computeIfAbsent(upstream, this::open);
+            survey.parts.add(part);
+            survey.waiting.put(sink, part);
+            sink.onDispose(() -> survey.waiting.remove(sink));
+            loop.runAfter(limitMillis, () -> endAtLimit(survey, sink));
+            if (survey.parts.size() >= MAX_PARTS) {
+                begin(survey);
+            }
+        });
+    }
+
+    private void endAtLimit(Survey survey, MonoSink<KeptPartEvidence.Verdict> sink) {
+        StreamKey part = survey.waiting.get(sink);
+        if (part != null) {
+            sink.success(verdict(survey, part));
         }
-        return loop.nowNanos() - begunNanos.get(upstream) < TIMEOUT.toNanos();
     }
 
-    void receiveRequest(byte[] body) throws InvalidProtocolBufferException {
-        String upstream = FleetProtos.PartSurvey.parseFrom(body).getUpstream();
-        if (isDue(upstream)) {
-            read(upstream);
+    private Survey open(String upstream) {
+        Survey survey = new Survey(++lastNumber, upstream);
+        loop.runAfter(COLLECT_MILLIS, () -> begin(survey));
+        return survey;
+    }
+
+    private void begin(Survey survey) {
+        if (collecting.remove(survey.upstream, survey)) {
+            survey.begunNanos = loop.nowNanos();
+            surveys.put(survey.number, survey);
+            advance(survey);
         }
     }
 
-    void receiveResults(byte[] body) throws InvalidProtocolBufferException {
-        long nowNanos = loop.nowNanos();
-        PartVersionCodec.decode(FleetProtos.PartVersions.parseFrom(body))
-                .forEach(kept -> state.partVersions().record(kept.part(), kept.version(), nowNanos));
+    /** Reads workers and asks the peers whose answers are not complete, until nobody waits for a conclusion. */
+    private void advance(Survey survey) {
+        if (survey.waiting.isEmpty()) {
+            surveys.remove(survey.number);
+            return;
+        }
+        Map<String, WorkerEntry> published = published(survey.upstream);
+        readings.read(assigned(published));
+        readings.read(published.values().stream()
+                .filter(worker -> isReadHere(survey, worker))
+                .toList());
+        byte[] query = FleetProtos.PartSurveyQuery.newBuilder()
+                .setNumber(survey.number)
+                .setUpstream(survey.upstream)
+                .addAllPart(survey.parts.stream().map(StreamKey::value).toList())
+                .build()
+                .toByteArray();
+        keepers.others().stream()
+                .filter(peer -> !survey.completed.contains(peer.name()))
+                .forEach(peer -> keepers.send(peer, QUERIES, query));
+        conclude(survey);
+        loop.runAfter(REPEAT_MILLIS, () -> advance(survey));
     }
 
-    private boolean isDue(String upstream) {
-        Long begun = begunNanos.get(upstream);
-        return begun == null || loop.nowNanos() - begun >= MIN_INTERVAL_NANOS;
+    /** Whether this process reads a worker that peers should have read: none has, or one can't reach it. */
+    private boolean isReadHere(Survey survey, WorkerEntry worker) {
+        return survey.find(worker)
+                .map(reading -> reading.state() == State.GONE)
+                .orElseGet(() -> loop.nowNanos() - survey.begunNanos >= SUBSTITUTE_NANOS);
     }
 
-    private void read(String upstream) {
-        begunNanos.put(upstream, loop.nowNanos());
+    private Map<String, WorkerEntry> published(String upstream) {
         Map<String, WorkerEntry> published = new HashMap<>();
         workers.published(upstream).forEach(entry -> published.put(entry.id(), entry));
-        List<WorkerEntry> own = keepers.assigned(published.keySet()).stream()
-                .limit(MAX_READ)
-                .map(published::get)
-                .toList();
-        LOG.infof(
-                "a resumed stream of %s is not known, reading what %d of its %d workers keep",
-                upstream, own.size(), published.size());
-        Flux.fromIterable(own)
-                .flatMap(worker -> readOne(worker).doOnNext(parts -> record(worker, parts)), CONCURRENT_READS)
-                .subscribe();
-    }
-
-    private Mono<List<String>> readOne(WorkerEntry worker) {
-        reads.inc();
-        return reader.read(worker)
-                .timeout(TIMEOUT, loop.scheduler())
-                .publishOn(loop.scheduler())
-                .onErrorResume(error -> {
-                    LOG.infof("%s does not tell which prompts it keeps, it is left out: %s", worker.id(), error);
-                    return Mono.empty();
-                });
-    }
-
-    /** Records the parts of a worker, unless it may have started again meanwhile. */
-    private void record(WorkerEntry worker, List<String> parts) {
-        boolean isSame = state.workers()
-                .find(worker.id())
-                .filter(current -> current.entry().incarnation() == worker.incarnation()
-                        && current.entry().version().equals(worker.version()))
-                .isPresent();
-        if (!isSame) {
-            return;
-        }
+        return published;
+    }
+
+    private List<WorkerEntry> assigned(Map<String, WorkerEntry> published) {
+        return keepers.assigned(published.keySet()).stream().map(published::get).toList();
+    }
+
+    private void conclude(Survey survey) {
+        Map<StreamKey, KeptPartEvidence.Verdict> verdicts = new HashMap<>();
+        Map.copyOf(survey.waiting).forEach((sink, part) -> {
+            KeptPartEvidence.Verdict verdict = verdicts.computeIfAbsent(part, key -> verdict(survey, key));
+            if (verdict.outcome() != KeptPartEvidence.Outcome.INCOMPLETE) {
+                sink.success(verdict);
+            }
+        });
+    }
+
+    private KeptPartEvidence.Verdict verdict(Survey survey, StreamKey part) {
         long nowNanos = loop.nowNanos();
-        List<KeptPart> kept = parts.stream()
-                .map(part -> new KeptPart(StreamKey.ofPart(worker.upstream(), part), worker.version()))
-                .toList();
-        kept.forEach(each -> state.partVersions().record(each.part(), each.version(), nowNanos));
-        if (!keepers.areAllAsked()) {
-            keepers.group(kept, each -> group(each.part())).forEach(this::tell);
+        Collection<WorkerEntry> published = published(survey.upstream).values();
+        List<KeptPartEvidence.Reading> evidence = new ArrayList<>();
+        for (WorkerEntry worker : published) {
+            PartReadings.Reading reading = reading(survey, worker);
+            boolean keeps = reading.parts().contains(part);
+            if (keeps) {
+                state.partVersions().record(part, worker.version(), nowNanos);
+            }
+            evidence.add(new KeptPartEvidence.Reading(worker.version(), evidence(reading.state(), keeps)));
         }
+        return KeptPartEvidence.conclude(state.partVersions().find(part), evidence);
     }
 
-    private void tell(Member keeper, List<KeptPart> results) {
-        for (int first = 0; first < results.size(); first += MAX_PARTS) {
-            List<KeptPart> message = results.subList(first, Math.min(results.size(), first + MAX_PARTS));
-            keepers.send(keeper, RESULTS, PartVersionCodec.encode(message).toByteArray());
+    /** Returns what is known of a worker. That a peer can't reach it does not show that it is gone. */
+    private PartReadings.Reading reading(Survey survey, WorkerEntry worker) {
+        PartReadings.Reading own = readings.find(worker);
+        return own.state() == State.READ
+                ? own
+                : survey.find(worker)
+                        .filter(reading -> reading.state() == State.READ)
+                        .orElse(own);
+    }
+
+    private static KeptPartEvidence.State evidence(State state, boolean keeps) {
+        return switch (state) {
+            case READ -> keeps ? KeptPartEvidence.State.KEEPS : KeptPartEvidence.State.KEEPS_NOT;
+            case GONE -> KeptPartEvidence.State.GONE;
+            default -> KeptPartEvidence.State.UNREAD;
+        };
+    }
+
+    void receiveQuery(String peer, byte[] body) throws InvalidProtocolBufferException {
+        FleetProtos.PartSurveyQuery query = FleetProtos.PartSurveyQuery.parseFrom(body);
+        readings.read(assigned(published(query.getUpstream())));
+        if (isPending(query.getUpstream())) {
+            loop.runAfter(READ_MILLIS, () -> answer(peer, query));
+        } else {
+            answer(peer, query);
+        }
+    }
+
+    private boolean isPending(String upstream) {
+        return assigned(published(upstream)).stream().anyMatch(readings::isPending);
+    }
+
+    private void answer(String peer, FleetProtos.PartSurveyQuery query) {
+        List<StreamKey> parts = query.getPartList().stream().map(StreamKey::new).toList();
+        Map<String, WorkerEntry> published = published(query.getUpstream());
+        Set<WorkerEntry> known = new HashSet<>();
+        assigned(published).stream().filter(readings::isPending).forEach(known::add);
+        published.values().stream()
+                .filter(worker -> readings.find(worker).state() != State.UNREAD)
+                .forEach(known::add);
+        byte[] answer = FleetProtos.PartSurveyAnswer.newBuilder()
+                .setNumber(query.getNumber())
+                .setComplete(!isPending(query.getUpstream()))
+                .addAllReading(known.stream()
+                        .map(worker -> PartReadingCodec.encode(worker, readings.find(worker), parts))
+                        .toList())
+                .build()
+                .toByteArray();
+        keepers.others().stream()
+                .filter(member -> member.name().equals(peer))
+                .forEach(member -> keepers.send(member, ANSWERS, answer));
+    }
+
+    void receiveAnswer(String peer, byte[] body) throws InvalidProtocolBufferException {
+        FleetProtos.PartSurveyAnswer answer = FleetProtos.PartSurveyAnswer.parseFrom(body);
+        Survey survey = surveys.get(answer.getNumber());
+        if (survey == null) {
+            return;
+        }
+        for (FleetProtos.PartReading message : answer.getReadingList()) {
+            PeerReading reading = new PeerReading(
+                    message.getIncarnation(), message.getVersion(), PartReadingCodec.decode(message, survey.parts));
+            survey.byWorker.merge(
+                    message.getWorker(), reading, (known, latest) -> latest.replaces(known) ? latest : known);
+        }
+        if (answer.getComplete()) {
+            survey.completed.add(peer);
         }
+        conclude(survey);
     }
 
-    /** Returns the key that decides which peers keep a part: of some groups of parts, since a worker has hundreds of them. */
-    static StreamKey group(StreamKey part) {
-        return new StreamKey(part.value() >>> GROUP_SHIFT);
+    void removeExpired() {
+        readings.removeExpired();
     }
 }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,9 +27,11 @@
 import org.dotterelcourse.gateway.fleet.generated.FleetProtos;
 import org.dotterelcourse.gateway.forward.Forwarder;
 import org.dotterelcourse.gateway.forward.KeptPartReader;
+import org.dotterelcourse.gateway.forward.Reachability;
 import org.dotterelcourse.gateway.forward.StreamVersionPeers;
 import org.dotterelcourse.gateway.metrics.GatewayMetrics;
 import org.dotterelcourse.gateway.published.Publications;
+import org.dotterelcourse.policy.resumption.KeptPartEvidence;
 import org.dotterelcourse.policy.resumption.StreamKey;
 import org.dotterelcourse.policy.resumption.StreamVersionNotice;
 import org.dotterelcourse.policy.resumption.StreamVersionProof;
@@ -91,7 +92,6 @@
         private final FleetProtos.StreamVersionQuery message;
         private final Map<String, Member> unanswered = new LinkedHashMap<>();
         private final Set<String> onlyVersions = new HashSet<>();
-        private final Set<String> partVersions = new HashSet<>();
 
         private Query(
                 MonoSink<Optional<StreamVersionProof>> sink,
@@ -104,15 +104,10 @@
 
         /** Returns what the answers prove together; versions on which they don't agree prove nothing. */
         private Optional<StreamVersionProof> proof() {
-            if (onlyVersions.size() == 1) {
-                return Optional.of(
-                        new StreamVersionProof(onlyVersions.iterator().next(), StreamVersionProof.Kind.ONLY_VERSION));
-            }
-            return partVersions.isEmpty()
-                    ? Optional.empty()
-                    : Optional.of(new StreamVersionProof(
-                            partVersions.size() == 1 ? partVersions.iterator().next() : "",
-                            StreamVersionProof.Kind.KEPT_PART));
+            return onlyVersions.size() == 1
+                    ? Optional.of(new StreamVersionProof(
+                            onlyVersions.iterator().next(), StreamVersionProof.Kind.ONLY_VERSION))
+                    : Optional.empty();
         }
     }
 
@@ -138,7 +133,8 @@
                 GatewayMetrics.NAME,
                 Publications.NAME,
                 Peers.NAME,
-                Forwarder.NAME);
+                Forwarder.NAME,
+                Reachability.NAME);
     }
 
     @Override
@@ -150,14 +146,24 @@
         transport = peers.transport();
         MetricRegistry metrics = kernel.find(GatewayMetrics.NAME).registry();
         keepers = new VersionKeepers(peers, metrics.counter("gateway.resumption.sent-bytes"));
-        survey = new PartSurvey(loop, state, keepers, reader, metrics.counter("gateway.resumption.worker-reads"));
+        Reachability reachability = kernel.find(Reachability.NAME);
+        survey = new PartSurvey(
+                loop,
+                state,
+                keepers,
+                new PartReadings(
+                        loop,
+                        state,
+                        reader,
+                        reachability::isCutOff,
+                        metrics.counter("gateway.resumption.worker-reads")));
         metrics.gauge("gateway.resumption.streams", () -> (Gauge<Integer>) state.streamVersions()::size);
         metrics.gauge("gateway.resumption.parts", () -> (Gauge<Integer>) state.partVersions()::size);
         register(NOTICES, this::receiveNotices);
         register(QUERIES, this::receiveQuery);
         register(ANSWERS, this::receiveAnswer);
-        register(PartSurvey.REQUESTS, (peer, body) -> survey.receiveRequest(body));
-        register(PartSurvey.RESULTS, (peer, body) -> survey.receiveResults(body));
+        register(PartSurvey.QUERIES, survey::receiveQuery);
+        register(PartSurvey.ANSWERS, survey::receiveAnswer);
         Poller poller = new Poller(loop, TICK_MILLIS, this::tick);
         loop.execute(() -> {
             poller.start();
@@ -204,6 +210,7 @@
         VersionHistory history = state.versionHistory(nowNanos);
         state.streamVersions().removeBefore(nowNanos - lifetimeNanos);
         state.partVersions().removeBefore(nowNanos - lifetimeNanos);
+        survey.removeExpired();
         ownNotices.keySet().forEach(this::sendDeferred);
         handOver();
         ticks++;
@@ -216,7 +223,7 @@
     /** Asks some peers, others each time, whether they have observed the only version of an upstream for long enough. */
     private void askForVoucher(String upstream) {
         List<Member> asked = keepers.of(StreamKey.ofPart(upstream, Integer.toString(ticks)));
-        ask(StreamKey.NONE, StreamKey.NONE, upstream, asked)
+        ask(StreamKey.NONE, upstream, asked)
                 .subscribe(proof -> proof.ifPresent(
                         each -> state.versionHistory(loop.nowNanos()).vouch(upstream, each.version())));
     }
@@ -272,8 +279,8 @@
     }
 
     @Override
-    public boolean surveyParts(String upstream) {
-        return survey.begin(upstream);
+    public Mono<KeptPartEvidence.Verdict> surveyPart(StreamKey part, String upstream, long limitMillis) {
+        return survey.survey(upstream, part, limitMillis);
     }
 
     @Override
@@ -282,24 +289,19 @@
     }
 
     @Override
-    public Mono<Optional<StreamVersionProof>> ask(StreamKey stream, StreamKey part, String upstream) {
-        Set<Member> asked = new LinkedHashSet<>(keepers.of(stream));
-        asked.addAll(keepers.of(PartSurvey.group(part)));
-        return ask(stream, part, upstream, List.copyOf(asked));
+    public Mono<Optional<StreamVersionProof>> ask(StreamKey stream, String upstream) {
+        return ask(stream, upstream, keepers.of(stream));
     }
 
-    private Mono<Optional<StreamVersionProof>> ask(
-            StreamKey stream, StreamKey part, String upstream, List<Member> asked) {
+    private Mono<Optional<StreamVersionProof>> ask(StreamKey stream, String upstream, List<Member> asked) {
         return Mono.create(sink -> {
             long number = ++lastQuery;
             FleetProtos.StreamVersionQuery message = FleetProtos.StreamVersionQuery.newBuilder()
                     .setNumber(number)
                     .setStream(stream.value())
                     .setUpstream(upstream)
-                    .setPart(part.value())
                     .build();
             Query query = new Query(sink, message, asked);
-            state.partVersions().find(part).ifPresent(query.partVersions::add);
             if (asked.isEmpty()) {
                 sink.success(query.proof());
                 return;
@@ -359,7 +361,6 @@
         state.versionHistory(nowNanos)
                 .onlyVersion(query.getUpstream(), state.streamLifetimeNanos(), nowNanos)
                 .ifPresent(answer::setOnlyVersion);
-        state.partVersions().find(new StreamKey(query.getPart())).ifPresent(answer::setPartVersion);
         for (Member member : peers.view()) {
             if (member.name().equals(peer)) {
                 keepers.send(member, ANSWERS, answer.build().toByteArray());
@@ -381,9 +382,6 @@
             if (answer.hasOnlyVersion()) {
                 query.onlyVersions.add(answer.getOnlyVersion());
             }
-            if (answer.hasPartVersion()) {
-                query.partVersions.add(answer.getPartVersion());
-            }
             if (query.unanswered.isEmpty()) {
                 end(query);
             }
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/VersionKeepers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/VersionKeepers.java
@@ -39,11 +39,6 @@
                 .toList();
     }
 
-    /** Returns whether all peers are asked about each key, so that no peer need be told anything in advance. */
-    boolean areAllAsked() {
-        return others().size() < CollectorPlan.MAX_DIRECT_PROCESSES;
-    }
-
     /** Returns the peers that keep a key. */
     List<Member> of(StreamKey key) {
         List<Member> others = others();
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/ClientResumption.java
@@ -10,6 +10,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.dotterelcourse.gateway.GatewayLoop;
 import org.dotterelcourse.gateway.GatewayState;
+import org.dotterelcourse.policy.resumption.KeptPartEvidence;
 import org.dotterelcourse.policy.resumption.StreamKey;
 import org.dotterelcourse.policy.resumption.StreamVersionNotice;
 import org.dotterelcourse.policy.resumption.StreamVersionProof;
@@ -29,11 +30,11 @@
     /** By then, answers of peers that were late have arrived, or another process is asked. */
     private static final long RETRY_AFTER_UNKNOWN_MILLIS = 500;
 
-    /** Time in which workers are read and the results reach those that are asked. */
-    private static final long SURVEY_MILLIS = 250;
+    /** Shortest time between two questions to peers; a router that has just started finds its peers meanwhile. */
+    private static final long MIN_SURVEY_MILLIS = 250;
 
-    /** Questions to peers after a survey has begun; a router that has just started first finds its peers. */
-    private static final int MAX_SURVEYED_ASKS = 4;
+    /** Longer than a sound worker may be silent, and shorter than the time after which clients leave. */
+    private static final long MAX_SURVEY_MILLIS = 1_500;
 
     /** With less time, the client's next attempt has a better chance. */
     private static final long MIN_REMAINING_MILLIS = 1_000;
@@ -93,11 +94,12 @@
             return Mono.just(Optional.empty());
         }
         resumed.inc();
-        return find(call, resumes.get()).map(proof -> {
+        return find(call, resumes.get()).map(finding -> {
+            Optional<StreamVersionProof> proof = finding.proof();
             if (proof.isEmpty() || proof.get().version().isEmpty()) {
                 unknown.inc();
                 return Optional.of(new Reply.Local(
-                        LocalReply.notExecuted(reason(call, resumes.get(), proof), RETRY_AFTER_UNKNOWN_MILLIS)));
+                        LocalReply.notExecuted(reason(call, resumes.get(), finding), RETRY_AFTER_UNKNOWN_MILLIS)));
             }
             byProof.get(proof.get().kind()).inc();
             if (proof.get().kind() == StreamVersionProof.Kind.KEPT_PART) {
@@ -110,7 +112,7 @@
         });
     }
 
-    private Mono<Optional<StreamVersionProof>> find(Call call, String resumedId) {
+    private Mono<Finding> find(Call call, String resumedId) {
         String upstream = call.attributes().upstream().name();
         StreamKey stream = resumedId.isEmpty()
                 ? StreamKey.NONE
@@ -119,7 +121,7 @@
                 .find(stream)
                 .map(notice -> new StreamVersionProof(notice.version(), StreamVersionProof.Kind.RECORD));
         if (recorded.isPresent()) {
-            return Mono.just(recorded);
+            return Mono.just(new Finding(recorded));
         }
         long nowNanos = loop.nowNanos();
         long catchUpMillis = state.versionHistory(nowNanos).catchUpNanos(nowNanos) / NANOS_PER_MILLI;
@@ -128,23 +130,22 @@
                     .then(Mono.defer(() -> find(call, resumedId)));
         }
         asked.inc();
-        Question question = new Question(stream, ownPart(call, upstream), upstream);
-        return ask(question)
+        return ask(stream, upstream)
                 .flatMap(proof -> proof.isPresent() ? Mono.just(proof) : confirmOnlyVersion(upstream))
-                .flatMap(proof -> askAfterSurvey(call, question, proof, MAX_SURVEYED_ASKS));
+                .flatMap(proof -> proof.isPresent() ? Mono.just(new Finding(proof)) : survey(call, stream));
     }
 
     /** Asks peers. That a peer has seen a single version proves nothing if this process has seen another one. */
-    private Mono<Optional<StreamVersionProof>> ask(Question question) {
-        return peers.ask(question.stream(), question.part(), question.upstream())
+    private Mono<Optional<StreamVersionProof>> ask(StreamKey stream, String upstream) {
+        return peers.ask(stream, upstream)
                 .map(proof -> proof.filter(
-                        each -> each.kind() != StreamVersionProof.Kind.ONLY_VERSION || isOnlySeen(each, question)));
+                        each -> each.kind() != StreamVersionProof.Kind.ONLY_VERSION || isOnlySeen(each, upstream)));
     }
 
-    private boolean isOnlySeen(StreamVersionProof proof, Question question) {
+    private boolean isOnlySeen(StreamVersionProof proof, String upstream) {
         long nowNanos = loop.nowNanos();
         return state.versionHistory(nowNanos)
-                .onlySeenVersion(question.upstream(), state.streamLifetimeNanos(), nowNanos)
+                .onlySeenVersion(upstream, state.streamLifetimeNanos(), nowNanos)
                 .filter(proof.version()::equals)
                 .isPresent();
     }
@@ -166,22 +167,31 @@
                 .map(version -> new StreamVersionProof(version, StreamVersionProof.Kind.ONLY_VERSION));
     }
 
-    /** What is asked about a stream. */
-    private record Question(StreamKey stream, StreamKey part, String upstream) {}
-
-    /** Asks again while workers are read, unless there is a proof or too little time. */
-    private Mono<Optional<StreamVersionProof>> askAfterSurvey(
-            Call call, Question question, Optional<StreamVersionProof> proof, int left) {
-        if (proof.isPresent()
-                || question.part().equals(StreamKey.NONE)
-                || left == 0
-                || call.remainingMillis(loop.nowNanos()) < MIN_REMAINING_MILLIS
-                || !peers.surveyParts(question.upstream())) {
-            return Mono.just(proof);
+    /** What is known of a stream's version: a proof, or what the survey of the workers has shown in place of one. */
+    private record Finding(Optional<StreamVersionProof> proof, Optional<KeptPartEvidence.Outcome> evidence) {
+        private Finding(Optional<StreamVersionProof> proof) {
+            this(proof, Optional.empty());
         }
-        return Mono.delay(Duration.ofMillis(SURVEY_MILLIS), loop.scheduler())
-                .then(Mono.defer(() -> ask(question)))
-                .flatMap(next -> askAfterSurvey(call, question, next, left - 1));
+
+        private static Finding of(KeptPartEvidence.Verdict verdict) {
+            return verdict.outcome() == KeptPartEvidence.Outcome.PROVEN
+                    ? new Finding(
+                            Optional.of(new StreamVersionProof(verdict.version(), StreamVersionProof.Kind.KEPT_PART)))
+                    : new Finding(Optional.empty(), Optional.of(verdict.outcome()));
+        }
+    }
+
+    /** Reads what workers keep, unless there is too little time, and asks peers again, whose records are better proofs. */
+    private Mono<Finding> survey(Call call, StreamKey stream) {
+        String upstream = call.attributes().upstream().name();
+        StreamKey part = ownPart(call, upstream);
+        if (part.equals(StreamKey.NONE) || call.remainingMillis(loop.nowNanos()) < MIN_REMAINING_MILLIS) {
+            return Mono.just(new Finding(Optional.empty()));
+        }
+        return Mono.delay(Duration.ofMillis(MIN_SURVEY_MILLIS), loop.scheduler())
+                .zipWith(peers.surveyPart(part, upstream, MAX_SURVEY_MILLIS), (delay, verdict) -> Finding.of(verdict))
+                .flatMap(finding ->
+                        ask(stream, upstream).map(proof -> proof.isPresent() ? new Finding(proof) : finding));
     }
 
     /** Returns the key of the part of the prompt that belongs to the request alone, or to its session. */
@@ -195,13 +205,20 @@
                 .orElse(StreamKey.NONE);
     }
 
-    private static String reason(Call call, String resumedId, Optional<StreamVersionProof> proof) {
-        if (proof.isPresent() && proof.get().kind() == StreamVersionProof.Kind.KEPT_PART) {
-            return "workers of several software versions keep the prompt of the resumed stream";
-        }
-        if (proof.isPresent()) {
+    private static String reason(Call call, String resumedId, Finding finding) {
+        if (finding.proof().isPresent()) {
             return "the resumed stream began at a worker of unknown software version";
         }
+        switch (finding.evidence().orElse(KeptPartEvidence.Outcome.NOT_KEPT)) {
+            case SEVERAL_VERSIONS:
+                return "workers of several software versions keep the prompt of the resumed stream";
+            case WORKERS_GONE:
+                return "workers of another software version that may have begun the resumed stream are gone";
+            case INCOMPLETE:
+                return "not all workers that may have begun the resumed stream tell what they keep";
+            default:
+                break;
+        }
         return resumedId.isEmpty()
                 ? "the request resumes a stream without naming it, and no worker's version is known to have begun it at "
                         + call.attributes().upstream().name()
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamVersionPeers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/StreamVersionPeers.java
@@ -1,7 +1,9 @@
 package org.dotterelcourse.gateway.forward;
 
+import java.util.List;
 import java.util.Optional;
 
+import org.dotterelcourse.policy.resumption.KeptPartEvidence;
 import org.dotterelcourse.policy.resumption.StreamKey;
 import org.dotterelcourse.policy.resumption.StreamVersionNotice;
 import org.dotterelcourse.policy.resumption.StreamVersionProof;
@@ -17,13 +19,13 @@
         }
 
         @Override
-        public Mono<Optional<StreamVersionProof>> ask(StreamKey stream, StreamKey part, String upstream) {
+        public Mono<Optional<StreamVersionProof>> ask(StreamKey stream, String upstream) {
             return Mono.just(Optional.empty());
         }
 
         @Override
-        public boolean surveyParts(String upstream) {
-            return false;
+        public Mono<KeptPartEvidence.Verdict> surveyPart(StreamKey part, String upstream, long limitMillis) {
+            return Mono.just(KeptPartEvidence.conclude(Optional.empty(), List.of()));
         }
 
         @Override
@@ -44,21 +46,21 @@
      * Asks peers for the software version of a stream.
      *
      * @param stream key of the stream; {@link StreamKey#NONE} if the client does not name it
-     * @param part key of the part of the prompt that belongs to the stream's request alone; {@link StreamKey#NONE} if there
-     *     is none
      * @param upstream name of its upstream
      * @return the version and its proof; empty if nothing known to this process and its peers proves it
      */
-    Mono<Optional<StreamVersionProof>> ask(StreamKey stream, StreamKey part, String upstream);
+    Mono<Optional<StreamVersionProof>> ask(StreamKey stream, String upstream);
 
     /**
-     * Lets all processes read which parts of prompts the workers of an upstream keep, each of them at a part of the workers.
-     * Begins nothing if that was done just before.
+     * Determines from what the workers of an upstream keep at which version a stream began. All processes read a part of the
+     * workers for it, unless they have done so just before.
      *
+     * @param part key of the part of the prompt that belongs to the stream's request, or to its session
      * @param upstream name of the upstream
-     * @return whether a survey is in progress, so that peers may soon know more
+     * @param limitMillis time in milliseconds after which an incomplete conclusion is returned
+     * @return the conclusion
      */
-    boolean surveyParts(String upstream);
+    Mono<KeptPartEvidence.Verdict> surveyPart(StreamKey part, String upstream, long limitMillis);
 
     /**
      * Asks the store for the changes that this process does not know yet, and applies them.
