Members that lose their links to the workers are known to all within two seconds

Callers of routers that were cut off from all workers got 503: their router asked peers to relay that were cut off too. A member's statement that it is cut off was part of what it publishes about itself, and changes of that were not gossiped. They travelled with the member's own messages and as two random rows of each message, which takes tens of seconds at 86 members.

Change: this one change is gossiped as a change of state is. A queued update counts as transmitted only when the same or a later version of what the member publishes is received.

Ruled out: detection.

Measured: MembershipLoadTest, 26 of 86 members in virtual time, failed before (more than 1 in 50 not known after 2 s).

--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/GossipQueue.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/GossipQueue.java
@@ -21,6 +21,16 @@
         pending.put(update.id().name(), new PendingUpdate(update));
     }
 
+    /**
+     * Adds an update if the member has lost its links to the workers since, or has them again. Other changes of what members
+     * publish reach all members with the messages that are sent anyway, which takes many seconds in a large fleet.
+     */
+    void addIfUrgent(Payload before, Update update) {
+        if (before.cutOff() != update.payload().cutOff()) {
+            add(update);
+        }
+    }
+
     /**
      * Counts the same update from another member as a transmission. Without this, many simultaneous joins would keep
      * each member busy for minutes with updates that all members already have.
@@ -30,7 +40,9 @@
         if (entry == null) {
             return;
         }
-        boolean same = entry.update.id().equals(update.id()) && entry.update.state() == update.state();
+        boolean same = entry.update.id().equals(update.id())
+                && entry.update.state() == update.state()
+                && entry.update.payloadVersion() <= update.payloadVersion();
         if (same) {
             countTransmission(entry, fleetSize);
         }
--- a/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Membership.java
+++ b/dotterelcourse-coordination/src/main/java/org/dotterelcourse/coordination/membership/Membership.java
@@ -92,7 +92,9 @@
         } else if (event instanceof MembershipEvent.VmListReceived list) {
             updateVmList(list.vms(), nowNanos);
         } else if (event instanceof MembershipEvent.PayloadChanged changed) {
+            Payload before = self.payload();
             self.setPayload(changed.payload());
+            gossip.addIfUrgent(before, self.update());
         } else if (event instanceof MembershipEvent.Leave) {
             leave(MemberState.LEAVING);
         } else if (event instanceof MembershipEvent.Shutdown) {
@@ -258,6 +260,7 @@
         if (!fromSubject && isUnconfirmedDeath(update, nowNanos)) {
             return;
         }
+        Member before = table.member(update.id().name());
         MemberTable.MergeResult result = table.merge(update, fromSubject, nowNanos);
         if (result == MemberTable.MergeResult.UNCHANGED) {
             return;
@@ -265,6 +268,7 @@
         Member member = table.member(update.id().name());
         out.add(new MembershipEffect.MemberChanged(member, result == MemberTable.MergeResult.PAYLOAD_CHANGED));
         if (result == MemberTable.MergeResult.PAYLOAD_CHANGED) {
+            gossip.addIfUrgent(before.payload(), member.update());
             return;
         }
         boolean suspectedInstead = member.state() != update.state();
--- a/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipLoadTest.java
+++ b/dotterelcourse-coordination/src/test/java/org/dotterelcourse/coordination/membership/MembershipLoadTest.java
@@ -15,6 +15,10 @@
 class MembershipLoadTest {
     private static final long SECOND = SimulatedNetwork.SECOND;
     private static final long MILLISECOND = SimulatedNetwork.MILLISECOND;
+
+    /** Share of the relayed requests that may fail during a partition. */
+    private static final double MAX_UNKNOWN = 0.02;
+
     private static final Payload PAYLOAD = new Payload("10.0.0.1:8080", "dc", "region", 0, 0, 0);
 
     /** Guards against whole tables each second while all members join, which kept routers from serving for 20 s. */
@@ -29,6 +33,37 @@
         assertThat(fleet.receivedUpdates / size).isLessThan(10L * size);
     }
 
+    /** Guards against peers that are asked to relay requests seconds after they have told that they can't. */
+    @Test
+    void membersThatAreCutOffAtOnceAreKnownToAllSoon() {
+        int size = 86;
+        int cutOff = 26;
+        Fleet fleet = new Fleet(size, 63, MembershipSettings.STANDARD);
+        fleet.run(15 * SECOND);
+        assertThat(fleet.converged(MemberState.ALIVE)).isTrue();
+        setCutOff(fleet, cutOff, true);
+        fleet.run(2 * SECOND);
+        assertThat(knownToBeCutOff(fleet)).isGreaterThan((1 - MAX_UNKNOWN) * size * cutOff);
+        setCutOff(fleet, cutOff, false);
+        fleet.run(4 * SECOND);
+        assertThat(knownToBeCutOff(fleet)).isLessThan(MAX_UNKNOWN * size * cutOff);
+    }
+
+    private static void setCutOff(Fleet fleet, int members, boolean isCutOff) {
+        for (int node = 0; node < members; node++) {
+            fleet.submit(node, new MembershipEvent.PayloadChanged(PAYLOAD.withCutOff(isCutOff)));
+        }
+    }
+
+    /** Returns the sum of the members that are cut off in the view of each member. */
+    private static double knownToBeCutOff(Fleet fleet) {
+        return fleet.nodes.values().stream()
+                .mapToLong(node -> node.members().stream()
+                        .filter(member -> member.payload().cutOff())
+                        .count())
+                .sum();
+    }
+
     /** Guards against suspicions by a busy process, which reads the answers that have arrived only some ticks later. */
     @Test
     void aMemberThatIsBehindSuspectsNobody() {
