--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/RelayDirectory.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/RelayDirectory.java
@@ -32,7 +32,14 @@
     /** Name of this service in the kernel. */
     public static final ServiceName<RelayDirectory> NAME = new ServiceName<>("relay-directory", RelayDirectory.class);
 
+    /** Time for which a peer that has refused a request is avoided; what it publishes is known to all by then. */
+    private static final long REFUSAL_NANOS = 1_000_000_000L;
+
+    /** Peers that are asked about one request although they have just refused another one. */
+    private static final int MAX_REFUSING_PEERS = 2;
+
     private final Map<String, Integer> inFlight = new HashMap<>();
+    private final Map<String, Long> refusedNanos = new HashMap<>();
     private final RelaySelector selector = new RelaySelector(RandomGenerator.getDefault());
     private Peers peers;
 
@@ -83,7 +90,23 @@
                         inFlight.getOrDefault(member.name(), 0)));
             }
         }
-        return selector.select(candidates).map(candidate -> targets.get(candidate.name()));
+        List<RelayCandidate> willing = candidates.stream()
+                .filter(candidate -> !hasRefused(candidate.name()))
+                .toList();
+        List<RelayCandidate> selectable =
+                willing.isEmpty() && excluded.size() < MAX_REFUSING_PEERS ? candidates : willing;
+        return selector.select(selectable).map(candidate -> targets.get(candidate.name()));
+    }
+
+    private boolean hasRefused(String peer) {
+        Long nanos = refusedNanos.get(peer);
+        return nanos != null && System.nanoTime() - nanos < REFUSAL_NANOS;
+    }
+
+    @Override
+    public void recordRefusal(String peer) {
+        refusedNanos.keySet().removeIf(each -> !hasRefused(each));
+        refusedNanos.put(peer, System.nanoTime());
     }
 
     private boolean isUsable(Member member) {
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
@@ -20,8 +20,8 @@
     /** Workers that must have refused a request before it is relayed, if this process is not known to be cut off. */
     private static final int REFUSALS_BEFORE_RELAY = 2;
 
-    /** Peers that may fail to serve one request before it is rejected. */
-    private static final int MAX_PEERS = 2;
+    /** Peers that may fail to serve one request before it is rejected; of half a fleet that is cut off, 1 in 64 of them. */
+    private static final int MAX_PEERS = 6;
 
     private final Reachability reachability;
     private final RelayClient client;
@@ -93,7 +93,7 @@
         failed.inc();
         if (result instanceof RelayResult.NotExecuted notExecuted) {
             if (!notExecuted.wasReached()) {
-                call.recordRelayFailure();
+                recordRefusal(call, peer);
             }
             return new AttemptResult.NotExecuted(
                     "peer " + peer.name() + ": " + notExecuted.reason(), notExecuted.wasReached());
@@ -101,10 +101,15 @@
         return new AttemptResult.Unknown("peer " + peer.name() + ": " + ((RelayResult.Unknown) result).reason());
     }
 
+    private void recordRefusal(Call call, RelayTarget peer) {
+        call.recordRelayFailure();
+        peers.ifPresent(each -> each.recordRefusal(peer.name()));
+    }
+
     /** Returns the result of an attempt whose connection to the peer has failed. */
     AttemptResult toResult(Call call, RelayTarget peer, WorkerConnectionException error) {
         failed.inc();
-        call.recordRelayFailure();
+        recordRefusal(call, peer);
         String reason = "peer " + peer.name() + " failed: " + error.getMessage();
         if (!error.isSent()) {
             return new AttemptResult.NotExecuted(reason, false);
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayPeers.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayPeers.java
@@ -16,10 +16,19 @@
      * Selects a peer that is alive, reaches workers and accepts relayed requests.
      *
      * @param excluded names of peers that are not to be used, since they have not served the request
-     * @return the peer; empty if there is none
+     * @return the peer; empty if there is none, or if the request has been refused by some and all others have refused
+     *     another one just before
      */
     Optional<RelayTarget> select(Set<String> excluded);
 
+    /**
+     * Records that a peer has not sent a relayed request to a worker, because it is cut off itself, overloaded, about to
+     * end or not reached. Others are preferred to it for a moment.
+     *
+     * @param peer name of the peer
+     */
+    void recordRefusal(String peer);
+
     /**
      * Records that a request is relayed to a peer.
      *
