A relay that refuses because it is late says so

Cause: a peer whose event loop was 100 ms behind rejected relayed requests with "at the limit of relayed requests, 0 beside 2 own ones", so that the log could not tell a limit from a late loop.

Change: the reason names the lag. What is accepted stays the same.

Measured: RelayAdmissionTest, with the bound of the lag.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/edge/RelayEndpoint.java
@@ -207,7 +207,11 @@
             return Optional.of("the upstream is not configured here");
         }
         int own = clients.inFlight().count() - inFlight;
-        if (!RelayAdmission.accepts(inFlight - 1, own, loop.lagMillis())) {
+        long lagMillis = loop.lagMillis();
+        if (RelayAdmission.isBehind(lagMillis)) {
+            return Optional.of("the event loop is " + lagMillis + " ms behind");
+        }
+        if (!RelayAdmission.accepts(inFlight - 1, own, lagMillis)) {
             return Optional.of("at the limit of relayed requests, " + (inFlight - 1) + " beside " + own + " own ones");
         }
         return Optional.empty();
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/relay/RelayAdmission.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/relay/RelayAdmission.java
@@ -25,6 +25,16 @@
      * @return true if it leaves enough capacity for the clients of this process
      */
     public static boolean accepts(int relayed, int own, long lagMillis) {
-        return lagMillis < MAX_LAG_MILLIS && relayed < Math.max(MIN_RELAYED, MAX_RELAYED_PER_OWN * own);
+        return !isBehind(lagMillis) && relayed < Math.max(MIN_RELAYED, MAX_RELAYED_PER_OWN * own);
+    }
+
+    /**
+     * Returns whether a process is too far behind to relay anything.
+     *
+     * @param lagMillis lag of the event loop in milliseconds
+     * @return true if no peer's request is accepted, however few there are
+     */
+    public static boolean isBehind(long lagMillis) {
+        return lagMillis >= MAX_LAG_MILLIS;
     }
 }
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/relay/RelayAdmissionTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/relay/RelayAdmissionTest.java
@@ -20,5 +20,7 @@
     @Test
     void aProcessThatIsBehindRelaysNothing() {
         assertThat(RelayAdmission.accepts(0, 100, 100)).isFalse();
+        assertThat(RelayAdmission.isBehind(100)).isTrue();
+        assertThat(RelayAdmission.isBehind(99)).isFalse();
     }
 }
