Queries to peers are not numbered alike at each start of a process (ORDER)

Cause: queries about software versions were numbered from 1 at each start. A peer that is seconds behind, as all are after a loss of all, may answer a query of an earlier start at the same address; the answer about another stream, or another part, would have been taken for the one to the open query with that number.

Change: numbers begin at random.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/PartSurvey.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/PartSurvey.java
@@ -53,7 +53,7 @@
     private final WorkerLinks workers;
     private final Map<String, Survey> collecting = new HashMap<>();
     private final Map<Long, Survey> surveys = new HashMap<>();
-    private long lastNumber;
+    private final QueryNumbers numbers = new QueryNumbers(RandomGenerator.getDefault());
 
     /** The parts of one query, who waits for them, and what peers have answered. */
     private static final class Survey {
@@ -70,7 +70,7 @@
             this.upstream = upstream;
         }
 
-        /** Returns what a peer has read of a worker, the most informative answer if several have. */
+        /** Returns what a peer has read of a worker. */
         private Optional<PartReadings.Reading> find(WorkerEntry worker) {
             return Optional.ofNullable(byWorker.get(worker.id()))
                     .filter(each -> each.incarnation() == worker.incarnation()
@@ -81,7 +81,7 @@
 
     /** What a peer has read of one start of a worker. */
     private record PeerReading(int incarnation, String version, PartReadings.Reading reading) {
-        /** Whether this replaces another answer; a peer may only just have lost the way to a worker that another one reads. */
+        /** Returns whether this replaces another answer: a peer may not reach a worker that another one has read. */
         private boolean replaces(PeerReading other) {
             return other.reading().state() != State.READ || reading.state() == State.READ;
         }
@@ -122,7 +122,7 @@
     }
 
     private Survey open(String upstream) {
-        Survey survey = new Survey(++lastNumber, upstream);
+        Survey survey = new Survey(numbers.next(), upstream);
         loop.runAfter(COLLECT_MILLIS, () -> begin(survey));
         return survey;
     }
@@ -159,7 +159,7 @@
         loop.runAfter(REPEAT_MILLIS, () -> advance(survey));
     }
 
-    /** Whether this process reads a worker that peers should have read: none has, or one can't reach it. */
+    /** Returns whether this process reads a worker itself, because no peer tells anything of it, or one finds it gone. */
     private boolean isReadHere(Survey survey, WorkerEntry worker) {
         return survey.find(worker)
                 .map(reading -> reading.state() == State.GONE)
--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -83,7 +84,7 @@
     private PeerTransport transport;
     private VersionKeepers keepers;
     private PartSurvey survey;
-    private long lastQuery;
+    private final QueryNumbers numbers = new QueryNumbers(RandomGenerator.getDefault());
     private int ticks;
 
     /** A query with the peers that have not answered, and what the others have said. */
@@ -295,7 +296,7 @@
 
     private Mono<Optional<StreamVersionProof>> ask(StreamKey stream, String upstream, List<Member> asked) {
         return Mono.create(sink -> {
-            long number = ++lastQuery;
+            long number = numbers.next();
             FleetProtos.StreamVersionQuery message = FleetProtos.StreamVersionQuery.newBuilder()
                     .setNumber(number)
                     .setStream(stream.value())
