A peer that has seen several versions contradicts one that vouches for a single one (ORDER)

Cause: a peer that had seen two versions of an upstream answered without the field for the only version, as does one that knows nothing yet. The claim of another peer, which had missed the second version because it was out of step with the store, stood alone and proved that version for streams of the other one.

Not changed: a peer that does not answer contradicts nothing. It may be the router that was lost, and waiting for it would refuse its streams.

--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/fleet/StreamVersionExchange.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 
@@ -92,7 +90,7 @@
         private final MonoSink<Optional<StreamVersionProof>> sink;
         private final FleetProtos.StreamVersionQuery message;
         private final Map<String, Member> unanswered = new LinkedHashMap<>();
-        private final Set<String> onlyVersions = new HashSet<>();
+        private final OnlyVersionClaims onlyVersions = new OnlyVersionClaims();
 
         private Query(
                 MonoSink<Optional<StreamVersionProof>> sink,
@@ -105,10 +103,9 @@
 
         /** Returns what the answers prove together; versions on which they don't agree prove nothing. */
         private Optional<StreamVersionProof> proof() {
-            return onlyVersions.size() == 1
-                    ? Optional.of(new StreamVersionProof(
-                            onlyVersions.iterator().next(), StreamVersionProof.Kind.ONLY_VERSION))
-                    : Optional.empty();
+            return onlyVersions
+                    .version()
+                    .map(version -> new StreamVersionProof(version, StreamVersionProof.Kind.ONLY_VERSION));
         }
     }
 
@@ -359,9 +356,10 @@
         state.streamVersions()
                 .find(new StreamKey(query.getStream()))
                 .ifPresent(notice -> answer.setVersion(notice.version()));
-        state.versionHistory(nowNanos)
-                .onlyVersion(query.getUpstream(), state.streamLifetimeNanos(), nowNanos)
+        VersionHistory history = state.versionHistory(nowNanos);
+        history.onlyVersion(query.getUpstream(), state.streamLifetimeNanos(), nowNanos)
                 .ifPresent(answer::setOnlyVersion);
+        answer.setSeveralVersions(history.hasSeveral(query.getUpstream(), state.streamLifetimeNanos(), nowNanos));
         for (Member member : peers.view()) {
             if (member.name().equals(peer)) {
                 keepers.send(member, ANSWERS, answer.build().toByteArray());
@@ -380,9 +378,7 @@
                         Optional.of(new StreamVersionProof(answer.getVersion(), StreamVersionProof.Kind.RECORD)));
                 return;
             }
-            if (answer.hasOnlyVersion()) {
-                query.onlyVersions.add(answer.getOnlyVersion());
-            }
+            query.onlyVersions.add(answer);
             if (query.unanswered.isEmpty()) {
                 end(query);
             }
--- a/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
+++ b/dotterelcourse-policy/src/main/java/org/dotterelcourse/policy/resumption/VersionHistory.java
@@ -191,6 +191,21 @@
                 : Optional.empty();
     }
 
+    /**
+     * Returns whether several versions of an upstream have served lately, which contradicts a process that knows of one.
+     *
+     * @param upstream name of the upstream
+     * @param streamNanos longest time in nanoseconds from the beginning of a stream to its last resumption
+     * @param nowNanos current monotonic time in nanoseconds
+     * @return true if this process has seen more than one version within that time
+     */
+    public boolean hasSeveral(String upstream, long streamNanos, long nowNanos) {
+        return byUpstream.getOrDefault(upstream, Map.of()).values().stream()
+                        .filter(each -> each.workers > 0 || nowNanos - each.endedNanos <= streamNanos)
+                        .count()
+                > 1;
+    }
+
     /**
      * Returns whether a stream of an upstream may belong to any of several versions, as far as this process knows.
      *
--- a/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/resumption/VersionHistoryTest.java
+++ b/dotterelcourse-policy/src/test/java/org/dotterelcourse/policy/resumption/VersionHistoryTest.java
@@ -36,6 +36,19 @@
         assertThat(history.onlyVersion("u", LIFETIME, 331)).contains("v2");
     }
 
+    // Guards against a process that has seen two versions and does not contradict one that has missed the second.
+    @Test
+    void aVersionThatServedAMomentAgoContradictsAnOnlyOne() {
+        history.add("u", "v1");
+        assertThat(history.hasSeveral("u", LIFETIME, 0)).isFalse();
+        history.add("u", "v2");
+        assertThat(history.hasSeveral("u", LIFETIME, 0)).isTrue();
+        history.remove("u", "v2", 100);
+        assertThat(history.hasSeveral("u", LIFETIME, 130)).isTrue();
+        assertThat(history.hasSeveral("u", LIFETIME, 131)).isFalse();
+        assertThat(history.hasSeveral("other", LIFETIME, 0)).isFalse();
+    }
+
     // Guards against a process that was paused and has missed a version that began meanwhile.
     @Test
     void anInterruptedObservationBeginsAnew() {
