--- a/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
+++ b/dotterelcourse-gateway/src/main/java/org/dotterelcourse/gateway/forward/RelayAttempts.java
@@ -20,7 +20,7 @@
     /** Workers that must have refused a request before it is relayed, if this process is not known to be cut off. */
     private static final int REFUSALS_BEFORE_RELAY = 2;
 
-    /** Peers that may fail to serve one request before it is rejected; of half a fleet that is cut off, 1 in 64 of them. */
+    /** Peers that may refuse one request before it is rejected. If half of all are cut off, one in 64 requests finds no other. */
     private static final int MAX_PEERS = 6;
 
     private final Reachability reachability;
